--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,9 @@
+#![doc = include_str!("../README.md")]
+#![forbid(unsafe_code)]
+#![warn(missing_docs)]
+
+pub mod choice;
+pub mod interface;
+pub mod wire;
+
+pub use choice::Router;
