--- a/src/choice.rs
+++ b/src/choice.rs
@@ -30,7 +30,7 @@
 /// Most loads planned a step for a function (x ≤ this).
 const STEP_CAP: u32 = 3;
 /// Cost of a load beside the fetch price, in requests' worth: the store and the cores it takes from others.
-const LOAD_COST: f64 = 0.1;
+const LOAD_COST: f64 = 0.4;
 /// Cost of an unused lane for a step before the memory price, in requests' worth.
 const IDLE_COST: f64 = 0.0005;
 /// Smoothness weights ρ1 and ρ2, in requests' worth.
@@ -54,7 +54,7 @@
 /// Own loads in hand at one worker; workers run a few at a time and turn the rest away.
 const WORKER_LOADS: u32 = 3;
 /// A copy is renewed when so many uses are expected within another keep-alive.
-const RENEW_USES: f64 = 0.4;
+const RENEW_USES: f64 = 1000.0;
 /// Beliefs proven false together, on several workers, that withdraw trust from all older ones.
 const SURPRISES: usize = 3;
 
@@ -291,6 +291,8 @@
 struct Attempt {
     worker: WorkerId,
     sent: Time,
+    /// Own attempts for the function there before it.
+    own: u32,
     /// It may outlast this before it is overdue.
     expected: Span,
     out: bool,
@@ -672,7 +674,8 @@
             if lanes == 0 || !may(id) {
                 continue;
             }
-            let taken = f64::from(c.out) + c.foreign;
+            let old = self.now.saturating_sub(c.known) as f64 / fun.load;
+            let taken = f64::from(c.out) + c.foreign * (-old).exp();
             let time = mean * self.busy(w);
             if taken + 0.5 < f64::from(lanes) {
                 let fails = w.fails * aim * if effect == Effect::Once { 1.0 } else { 0.3 };
@@ -689,8 +692,15 @@
         if let Some((_, id)) = best {
             return Choice::Send(id);
         }
-        frees.sort_by(f64::total_cmp);
-        let mut wait = frees.get(ahead).copied().unwrap_or(f64::INFINITY);
+        // The turn of this request: each lane that frees serves one of those ahead first, then frees again.
+        let mut wait = f64::INFINITY;
+        for _ in 0..=ahead {
+            let next = (0..frees.len()).min_by(|&a, &b| frees[a].total_cmp(&frees[b]));
+            wait = next.map_or(f64::INFINITY, |n| frees[n]);
+            if let Some(n) = next {
+                frees[n] += mean;
+            }
+        }
         if self.now.saturating_sub(open.since) as f64 > 2.0 * fun.load {
             wait = f64::INFINITY; // held long enough on hopes
         }
@@ -710,7 +720,7 @@
         if let Some(id) = pick.filter(|id| !known_cold(id) && (spare || !self.set.may_order)) {
             return Choice::Send(id);
         }
-        if self.set.may_order && self.order_room(1.0) && frees.len() <= ahead {
+        if self.set.may_order && self.order_room(1.0) {
             if let Some(id) = self.place(f) {
                 return Choice::Load(id);
             }
@@ -849,12 +859,12 @@
         };
         let load = if warm { 0.0 } else { self.functions[f].load };
         let expected = (mean * w.slow.max(1.0) * OVERDUE as f64 + load) as Span;
-        let attempt =
-            Attempt { worker, sent: self.now, expected, out: true, never_ran: false, called_off: false };
-        open.attempts.push(attempt);
         w.out += 1;
         w.sends.push_back(self.now);
         let c = self.functions[f].copies.entry(worker).or_default();
+        let (sent, own) = (self.now, c.out);
+        let attempt = Attempt { worker, sent, own, expected, out: true, never_ran: false, called_off: false };
+        open.attempts.push(attempt);
         c.out += 1;
         if warm {
             c.used = self.now.max(c.used);
@@ -923,13 +933,14 @@
         a.out = false;
         a.never_ran =
             matches!(outcome, Outcome::Full | Outcome::ConnectFailed | Outcome::Moot | Outcome::Miss);
-        let (worker, sent, called_off) = (a.worker, a.sent, a.called_off);
+        let (worker, sent, called_off, own) = (a.worker, a.sent, a.called_off, a.own);
         if let Some(w) = self.workers.get_mut(&worker) {
             w.out = w.out.saturating_sub(1);
         }
         if let Some(c) = self.functions[f].copies.get_mut(&worker) {
             c.out = c.out.saturating_sub(1);
         }
+        let crowd = crowd.map(|c| f64::from(c.saturating_sub(own)));
         self.learn(f, worker, sent, outcome, (lag, mark, crowd), called_off);
         let open = &self.open[id];
         if last || open.over || open.stream {
@@ -960,7 +971,7 @@
         worker: WorkerId,
         sent: Time,
         outcome: Outcome,
-        (lag, mark, crowd): (Span, CopyMark, Option<u32>),
+        (lag, mark, crowd): (Span, CopyMark, Option<f64>),
         called_off: bool,
     ) {
         let now = self.now;
@@ -994,9 +1005,7 @@
                     _ => c.n.max(1),
                 };
                 (c.used, c.known) = (now, now);
-                if let Some(crowd) = crowd {
-                    // Others' requests there: what it held less what was ours.
-                    let others = (f64::from(crowd) - f64::from(c.out)).max(0.0);
+                if let Some(others) = crowd {
                     c.foreign += 0.3 * (others - c.foreign);
                 }
                 surprised = mark == CopyMark::BeganLoad && believed && c.out == 0;
