--- a/src/choice.rs
+++ b/src/choice.rs
@@ -54,7 +54,7 @@
 /// Own loads in hand at one worker; workers run a few at a time and turn the rest away.
 const WORKER_LOADS: u32 = 3;
 /// A copy is renewed when so many uses are expected within another keep-alive.
-const RENEW_USES: f64 = 1000.0;
+const RENEW_USES: f64 = 0.4;
 /// Beliefs proven false together, on several workers, that withdraw trust from all older ones.
 const SURPRISES: usize = 3;
 
@@ -69,7 +69,8 @@
     let mean = bins.iter().sum::<f64>() / n as f64;
     let var = bins.iter().map(|y| (y - mean).powi(2)).sum::<f64>() / n as f64;
     if n < MIN_BINS || var < 1e-9 {
-        return vec![mean; steps];
+        // One early arrival is no rate: a short history is filled up with silence.
+        return vec![mean * n as f64 / n.max(2 * MIN_BINS) as f64; steps];
     }
     // Least squares on orthogonal polynomials of the centred bin number, each kept only where it stands out.
     let half = (n as f64 - 1.0) / 2.0;
@@ -174,7 +175,9 @@
         let (free, load) = ((w * h.lanes - h.foreign).max(0.0), h.arrivals[k] * h.service);
         let short = shortage(load, free) / h.service.max(0.1);
         q = (q + h.arrivals[k] - free / h.service.max(0.1)).max(0.0);
-        sum += h.cold_pain * short + h.wait_pain * q + h.load_cost * f64::from(x[k]);
+        // Beside lanes at work, one that finds none waits for the sooner of a load and a lane.
+        let pain = if free < 1.0 { h.cold_pain } else { h.cold_pain.min(h.wait_pain * (1.0 + load / free)) };
+        sum += pain * short + h.wait_pain * q + h.load_cost * f64::from(x[k]);
         sum += h.idle_cost * (free - load).max(0.0);
         sum += SMOOTH_W * step * step + SMOOTH_X * (f64::from(x[k]) - last_x).powi(2);
         sum += if w > h.most { 1e3 * (w - h.most) } else { 0.0 };
@@ -1305,6 +1308,10 @@
                 let left = (at as f64 + fun.load - now as f64).max(0.0) / step;
                 change[(left as usize).min(steps - 1)] += f64::from(want.saturating_sub(n));
             }
+            if n == 0 && c.out > 0 {
+                // A send on a stale belief finds a copy, or loads one, where absent functions load by themselves.
+                change[delay.min(steps - 1)] += 1.0;
+            }
             if n == 0 || !self.workers.get(&id).is_some_and(|w| w.ready && !w.tripped) {
                 continue;
             }
@@ -1316,7 +1323,7 @@
         if let Some((used, id)) = oldest {
             let ends = used + self.set.keep_alive;
             let n = fun.copies.get(&id).map_or(1, |c| c.n);
-            let due = now + 2 * fun.step + self.sweep > ends;
+            let due = now + 2 * fun.step + self.sweep > ends && fun.uses_at as f64 + 1.5 * keep > now as f64;
             if due && uses > RENEW_USES && self.order_room(AHEAD_SHARE) {
                 let name = fun.name.clone();
                 let c = self.functions[f].copies.entry(id).or_default();
