Forecast: silence before a first arrival is history, sigma over load-time rates, stricter significance

Cause: a single arrival at the end of a short history was extrapolated as a rising trend and ordered up to nine copies.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -20,9 +20,9 @@
 /// Harmonics k in the forecast.
 const HARMONICS: usize = 2;
 /// Clip of the forecast: mean + this many σ.
-const CLIP_SIGMA: f64 = 2.0;
+const CLIP_SIGMA: f64 = 1.5;
 /// A trend or harmonic counts when its power is this many times the mean residual power (else it is noise).
-const SIGNIFICANT: f64 = 4.0;
+const SIGNIFICANT: f64 = 9.0;
 /// Horizon steps beyond the load delay D.
 const BEYOND: usize = 8;
 /// Longest D in steps; a slower store is planned for as if this slow.
@@ -103,7 +103,11 @@
         .collect();
     waves.sort_by(|a, b| b.0.total_cmp(&a.0));
     waves.truncate(HARMONICS);
-    let top = mean + CLIP_SIGMA * var.sqrt();
+    // σ of rates over a load time each: single bins of a rare function are all noise.
+    let blocks: Vec<f64> =
+        bins.chunks(STEPS_PER_LOAD as usize).map(|b| b.iter().sum::<f64>() / b.len() as f64).collect();
+    let sigma = (blocks.iter().map(|r| (r - mean).powi(2)).sum::<f64>() / blocks.len() as f64).sqrt();
+    let top = mean + CLIP_SIGMA * sigma;
     (n..n + steps)
         .map(|i| {
             let t = i as f64 - half;
@@ -329,6 +333,7 @@
     now: Time,
     sweep: Span,
     started: bool,
+    began: Time,
     workers: BTreeMap<WorkerId, Worker>,
     functions: Vec<Function>,
     names: BTreeMap<FunctionId, usize>,
@@ -357,6 +362,7 @@
             now: 0,
             sweep,
             started: false,
+            began: 0,
             workers: BTreeMap::new(),
             functions: Vec::new(),
             names: BTreeMap::new(),
@@ -380,6 +386,7 @@
         self.now = self.now.max(now);
         if !self.started {
             self.started = true;
+            self.began = self.now;
             let after = 1 + self.rng.u64(0..self.sweep);
             out.push(Action::SetAlarm { after, name: "sweep".into() });
             if self.set.discovery == Discovery::Ask {
@@ -555,7 +562,9 @@
         let f = &mut self.functions[f];
         let bin = self.now / f.step;
         if f.bins.is_empty() {
-            f.bins.push_back(0.0);
+            // Since this front end began it has seen none: that silence is history too.
+            let silent = ((self.now - self.began) / f.step).min(BINS as u64);
+            f.bins.extend((0..=silent).map(|_| 0.0));
             f.bin = bin;
             return true;
         }
