Overload: adaptive limit of own attempts at each worker; late requests and traffic over its share yield

Cause: requests went on to workers that turned them away, three attempts each. Covers any jam (a flood, a neighbour, a slow machine); may harm where a worker is slow by nature and its lanes stay unused.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -49,6 +49,12 @@
 const CLOSE: f64 = 0.12;
 /// An attempt is overdue after this many times its expected time.
 const OVERDUE: u64 = 3;
+/// A worker's limit of own attempts before anything is known of it; it only binds once cut.
+const FREE_LIMIT: f64 = 64.0;
+/// What a full or late answer leaves of the attempts out as the limit.
+const CUT: f64 = 0.7;
+/// Held requests for each worker from which there is too little for all.
+const PRESSED: usize = 1;
 /// Share of the cold budget (multiple x capacity x window) that all front ends together plan to use.
 const COLD_SHARE: f64 = 0.4;
 /// Own loads in hand at one worker; workers run a few at a time and turn the rest away.
@@ -250,6 +256,9 @@
     /// Last sign of life.
     heard: Time,
     full_until: Time,
+    /// Most own attempts out: cut when it turns away or answers late, grown by answers in time.
+    limit: f64,
+    cut_at: Time,
     no_load_until: Time,
     /// Own sends in the last fall window, for the cold budget.
     sends: VecDeque<Time>,
@@ -352,6 +361,16 @@
     logged_at: Time,
 }
 
+impl Worker {
+    /// Adaptive limit: what it could not take in time is taken from it, once in a while at most.
+    fn cut(&mut self, now: Time, pause: Span) {
+        if now >= self.cut_at + pause {
+            self.limit = (f64::from(self.out + 1) * CUT).min(self.limit).max(1.0);
+            self.cut_at = now;
+        }
+    }
+}
+
 impl Router {
     /// A router that knows nothing but its settings.
     pub fn new(seed: u64, settings: Settings) -> Self {
@@ -438,6 +457,8 @@
                 backoff: 0,
                 heard: now,
                 full_until: 0,
+                limit: FREE_LIMIT,
+                cut_at: 0,
                 no_load_until: 0,
                 sends: VecDeque::new(),
             });
@@ -643,7 +664,8 @@
         let healthy = !w.tripped
             || self.all_bad()
             || (self.now >= w.retry_at && w.out == 0 && effect == Effect::Repeatable);
-        w.ready && healthy && self.now >= w.full_until && self.cold_room(w)
+        let room = f64::from(w.out) < w.limit.max(1.0) && self.now >= w.full_until;
+        w.ready && healthy && room && self.cold_room(w)
     }
 
     /// How busy a worker looks from here: slowness, own attempts and loads in hand by size.
@@ -781,6 +803,8 @@
             let (x, y) = (&self.open[a], &self.open[b]);
             self.worth(y).total_cmp(&self.worth(x)).then(x.due.cmp(&y.due)).then(a.cmp(b))
         });
+        let all_held: usize = self.functions.iter().map(|f| f.held.len()).sum();
+        let pressed = all_held + held.len() > PRESSED * self.workers.len();
         let mut waiting = Vec::new();
         for id in held {
             if self.open[&id].due <= self.now + self.sweep + 2 * self.set.round {
@@ -793,6 +817,11 @@
                     self.order(f, w, out);
                     waiting.push(id);
                 }
+                Choice::Wait
+                    if pressed && self.over_share(&self.open[&id]) && self.may_refuse(&self.open[&id]) =>
+                {
+                    self.finish(&id, out); // too little for all: traffic over its share yields first
+                }
                 Choice::Wait => waiting.push(id),
             }
         }
@@ -806,17 +835,23 @@
     }
 
     fn worth(&self, open: &Open) -> f64 {
-        let worth = self.set.classes.get(open.class).map_or(0.0, |c| c.worth);
-        let quota = self.set.tenants.get(open.tenant).and_then(|t| t.quota_per_s);
-        let rate = self.tenant_rate.get(open.tenant).map_or(0.0, |r| r.0);
-        let over = quota.is_some_and(|q| rate > q / f64::from(self.set.front_ends.max(1)));
-        if over {
+        let Some(class) = self.set.classes.get(open.class) else { return 0.0 };
+        // One that can no longer make its aim yields to those that can.
+        let late = self.now as f64 + self.service(open.function) > (open.since + class.aim) as f64;
+        let worth = if late { class.worth * class.late_worth } else { class.worth };
+        if self.over_share(open) {
             worth * self.set.over_share_worth
         } else {
             worth
         }
     }
 
+    fn over_share(&self, open: &Open) -> bool {
+        let quota = self.set.tenants.get(open.tenant).and_then(|t| t.quota_per_s);
+        let rate = self.tenant_rate.get(open.tenant).map_or(0.0, |r| r.0);
+        quota.is_some_and(|q| rate > q / f64::from(self.set.front_ends.max(1)))
+    }
+
     // ---- Attempts and the rules that bind them. ----
 
     /// Rules 2 and 3: whether another attempt, to this worker, is allowed now.
@@ -1012,6 +1047,12 @@
                     return;
                 };
                 let cold = matches!(mark, CopyMark::BeganLoad | CopyMark::WaitedForLoad);
+                let aim = self.set.classes.get(fun.class).map_or(Span::MAX, |c| c.aim);
+                if lag > aim && !cold {
+                    w.cut(now, self.sweep);
+                } else {
+                    w.limit = (w.limit + 1.0 / w.limit.max(1.0)).min(FREE_LIMIT);
+                }
                 c.n = match mark {
                     CopyMark::BeganLoad if believed => c.n + 1,
                     _ => c.n.max(1),
@@ -1043,7 +1084,8 @@
                 (c.n, c.known, c.foreign) = (0, now, 0.0);
             }
             Outcome::Full => {
-                w.full_until = now + self.sweep * 2;
+                w.full_until = now + self.sweep;
+                w.cut(now, self.sweep);
             }
             Outcome::Error if mark == CopyMark::LoadFailed => {
                 (c.n, c.known) = (0, now);
@@ -1234,10 +1276,18 @@
             out.push(Action::Subscribe { on: true });
         }
         self.find_silent(out);
+        // What is held, worthiest function first: they compete for the same workers.
+        let mut held: Vec<(f64, usize)> = (0..self.functions.len())
+            .filter(|&f| !self.functions[f].held.is_empty())
+            .map(|f| {
+                (self.functions[f].held.iter().map(|id| self.worth(&self.open[id])).fold(0.0, f64::max), f)
+            })
+            .collect();
+        held.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
+        for (_, f) in held {
+            self.dispatch(f, out);
+        }
         for f in 0..self.functions.len() {
-            if !self.functions[f].held.is_empty() {
-                self.dispatch(f, out);
-            }
             if self.roll(f) && self.set.may_order {
                 self.plan_function(f, out);
             }
