--- a/src/lib.rs
+++ b/src/lib.rs
@@ -4,6 +4,8 @@
 
 pub mod choice;
 pub mod interface;
+mod state;
 pub mod wire;
 
 pub use choice::Router;
+pub use state::Horizon;
--- /dev/null
+++ b/src/state.rs
@@ -0,0 +1,354 @@
+//! The router's memory: plain records and their bookkeeping. Nothing is decided here, nothing is tuned.
+
+use crate::interface::*;
+use std::collections::{BTreeMap, VecDeque};
+
+/// A sum that is forgotten exponentially.
+#[derive(Debug, Default, Clone, Copy)]
+pub(crate) struct Decay {
+    value: f64,
+    at: Time,
+}
+
+impl Decay {
+    pub(crate) fn add(&mut self, now: Time, span: f64, amount: f64) {
+        (self.value, self.at) = (self.get(now, span) + amount, now);
+    }
+    pub(crate) fn get(&self, now: Time, span: f64) -> f64 {
+        self.value * (-(now.saturating_sub(self.at) as f64) / span).exp()
+    }
+}
+
+/// Times of something done lately.
+#[derive(Debug, Default)]
+pub(crate) struct Recent(VecDeque<Time>);
+
+impl Recent {
+    pub(crate) fn push(&mut self, now: Time) {
+        self.0.push_back(now);
+    }
+    /// How many at or after this time.
+    pub(crate) fn since(&self, from: Time) -> f64 {
+        self.0.iter().rev().take_while(|&&t| t >= from).count() as f64
+    }
+    pub(crate) fn forget_before(&mut self, from: Time) {
+        while self.0.front().is_some_and(|&t| t < from) {
+            self.0.pop_front();
+        }
+    }
+}
+
+/// A worker, as listed and as seen.
+#[derive(Debug, Default)]
+pub(crate) struct Worker {
+    pub zone: u32,
+    pub cell: u32,
+    pub kind: usize,
+    pub size: f64,
+    pub ready: bool,
+    pub born: Option<Time>,
+    /// Start of its warming up, as told or as seen.
+    pub cold_at: Option<Time>,
+    /// Own attempts out, and own loads in hand.
+    pub out: u32,
+    pub loads: u32,
+    /// Observed service time over what its functions take elsewhere.
+    pub slow: f64,
+    /// Running share of failures.
+    pub fails: f64,
+    /// Taken out; from `retry_at` on a trickle goes in.
+    pub tripped: bool,
+    pub retry_at: Time,
+    pub backoff: Span,
+    /// Last sign of life.
+    pub heard: Time,
+    pub full_until: Time,
+    pub no_load_until: Time,
+    /// Most own attempts out, and when it was last cut.
+    pub limit: f64,
+    pub cut_at: Time,
+    /// Own sends, for the cold budget.
+    pub sends: Recent,
+}
+
+impl Worker {
+    pub(crate) fn new(e: &WorkerEntry, heard: Time, limit: f64) -> Self {
+        Worker { born: e.born, cold_at: e.born, slow: 1.0, heard, limit, ..Worker::default() }
+    }
+    /// Takes in what the list says; true when the process has started anew.
+    pub(crate) fn listed(&mut self, e: &WorkerEntry) -> bool {
+        (self.zone, self.cell, self.kind, self.size) = (e.zone, e.cell, e.kind as usize, e.size.max(0.01));
+        self.ready = e.availability == Availability::Ready;
+        let restarted = e.born != self.born && e.born.is_some();
+        self.born = e.born.or(self.born);
+        restarted
+    }
+    /// Whether it shares the keys that it has seen with another.
+    pub(crate) fn drops_repeats(&self, other: &Worker, group: Group) -> bool {
+        match group {
+            Group::All => true,
+            Group::Zone => self.zone == other.zone,
+            Group::Cell => self.cell == other.cell,
+        }
+    }
+}
+
+/// What is believed of a function's copies at a worker.
+#[derive(Debug, Default)]
+pub(crate) struct Copies {
+    /// Copies last known to stand.
+    pub n: u32,
+    /// Last proof, use or renewal.
+    pub used: Time,
+    /// Last word of any kind, also that none stands.
+    pub known: Time,
+    /// Own attempts out there.
+    pub out: u32,
+    /// Other front ends' requests there, from crowd marks.
+    pub foreign: f64,
+    /// Orders in hand: when sent, copies wanted (0: only asked).
+    pub orders: Vec<(Time, u32)>,
+}
+
+impl Copies {
+    /// Copies that the orders in hand lead to.
+    pub(crate) fn coming(&self) -> u32 {
+        self.orders.iter().map(|o| o.1).max().unwrap_or(0)
+    }
+    /// Takes out the order sent nearest to this time.
+    pub(crate) fn take_order(&mut self, sent: Time) -> Option<u32> {
+        let at = (0..self.orders.len()).min_by_key(|&i| self.orders[i].0.abs_diff(sent))?;
+        Some(self.orders.remove(at).1)
+    }
+}
+
+/// A function, as told and as seen.
+#[derive(Debug, Default)]
+pub(crate) struct Function {
+    pub name: FunctionId,
+    pub class: usize,
+    pub memory: f64,
+    pub lanes: u32,
+    /// Load time: told, then observed.
+    pub load: f64,
+    /// Mean service time, and its low quantile; 0: unknown.
+    pub mean: f64,
+    pub quick: f64,
+    /// Length of a bin, the bins (the last one is still filling) and its number.
+    pub step: Span,
+    pub bins: VecDeque<f64>,
+    pub bin: u64,
+    /// Uses, slowly forgotten, and the last.
+    pub uses: Decay,
+    pub used: Time,
+    pub last_loads: f64,
+    pub held: Vec<RequestId>,
+    pub copies: BTreeMap<WorkerId, Copies>,
+}
+
+impl Function {
+    /// Brings the bins up to now; before the first there was silence since `began`. True when one began.
+    pub(crate) fn roll(&mut self, now: Time, began: Time, keep: u64) -> bool {
+        let bin = now / self.step;
+        let first = self.bins.is_empty();
+        let new = if first { (now - began) / self.step + 1 } else { bin - self.bin };
+        self.bins.extend((0..new.min(keep + 1)).map(|_| 0.0));
+        while self.bins.len() as u64 > keep + 1 {
+            self.bins.pop_front();
+        }
+        self.bin = bin;
+        new > 0
+    }
+    /// Books an arrival in the bin that is filling.
+    pub(crate) fn count(&mut self, now: Time, began: Time, keep: u64) {
+        self.roll(now, began, keep);
+        if let Some(filling) = self.bins.back_mut() {
+            *filling += 1.0;
+        }
+    }
+}
+
+/// An attempt of a request.
+#[derive(Debug)]
+pub(crate) struct Attempt {
+    pub worker: WorkerId,
+    pub sent: Time,
+    /// Own attempts for the function there before it.
+    pub own: u32,
+    /// It is overdue after this.
+    pub expected: Span,
+    pub out: bool,
+    pub never_ran: bool,
+    pub called_off: bool,
+}
+
+/// A request that is not forgotten yet.
+#[derive(Debug)]
+pub(crate) struct Open {
+    pub function: usize,
+    pub class: usize,
+    pub tenant: usize,
+    pub due: Time,
+    pub since: Time,
+    pub over: bool,
+    pub stream: bool,
+    pub attempts: Vec<Attempt>,
+}
+
+impl Open {
+    pub(crate) fn new(function: usize, r: &Request, since: Time) -> Self {
+        let (class, tenant, due) = (r.class, r.tenant, r.due);
+        Open { function, class, tenant, due, since, over: false, stream: false, attempts: Vec::new() }
+    }
+}
+
+/// What a front end remembers.
+#[derive(Debug, Default)]
+pub(crate) struct Memory {
+    pub workers: BTreeMap<WorkerId, Worker>,
+    pub functions: Vec<Function>,
+    pub names: BTreeMap<FunctionId, usize>,
+    pub open: BTreeMap<RequestId, Open>,
+    pub arrivals: Recent,
+    pub orders: Recent,
+    pub rate: Decay,
+    pub tenant_rate: Vec<Decay>,
+    pub class_mean: Vec<f64>,
+    /// Beliefs proven false lately.
+    pub surprises: VecDeque<(Time, WorkerId)>,
+}
+
+impl Memory {
+    pub(crate) fn ready(&self) -> impl Iterator<Item = &Worker> {
+        self.workers.values().filter(|w| w.ready)
+    }
+    pub(crate) fn mean_slow(&self) -> f64 {
+        let n = self.ready().count().max(1) as f64;
+        (self.ready().map(|w| w.slow).sum::<f64>() / n).max(0.1)
+    }
+    /// Forgets orders and arrivals before one time, sends before another, and starts before a third.
+    pub(crate) fn forget(&mut self, orders: Time, sends: Time, starts: Time) {
+        self.arrivals.forget_before(orders);
+        self.orders.forget_before(orders);
+        for w in self.workers.values_mut() {
+            w.sends.forget_before(sends);
+            w.cold_at = w.cold_at.filter(|&t| t > starts);
+        }
+    }
+    pub(crate) fn hold(&mut self, f: usize, id: &RequestId) {
+        if !self.functions[f].held.contains(id) {
+            self.functions[f].held.push(id.clone());
+        }
+    }
+    /// A worker is empty again.
+    pub(crate) fn forget_copies(&mut self, worker: WorkerId, now: Time) {
+        for c in self.functions.iter_mut().filter_map(|f| f.copies.get_mut(&worker)) {
+            (c.n, c.known, c.foreign) = (0, now, 0.0);
+        }
+    }
+    /// Marks a request as over; the attempts still out and not called off before.
+    pub(crate) fn end(&mut self, id: &RequestId) -> Vec<u32> {
+        let Some(open) = self.open.get_mut(id) else { return Vec::new() };
+        open.over = true;
+        let out = open.attempts.iter_mut().enumerate().filter(|(_, a)| a.out && !a.called_off);
+        let off = out.map(|(n, a)| (a.called_off = true, n as u32).1).collect();
+        self.functions[open.function].held.retain(|h| h != id);
+        if open.attempts.iter().all(|a| !a.out) {
+            self.open.remove(id);
+        }
+        off
+    }
+    pub(crate) fn begin_attempt(&mut self, id: &RequestId, worker: WorkerId, sent: Time, expected: Span) {
+        let (Some(open), Some(w)) = (self.open.get_mut(id), self.workers.get_mut(&worker)) else { return };
+        let c = self.functions[open.function].copies.entry(worker).or_default();
+        let own = c.out;
+        c.out += 1;
+        w.out += 1;
+        w.sends.push(sent);
+        open.attempts.push(Attempt {
+            worker,
+            sent,
+            own,
+            expected,
+            out: true,
+            never_ran: false,
+            called_off: false,
+        });
+    }
+    /// Books the end of an attempt; `None` for one unknown or ended before.
+    pub(crate) fn end_attempt(&mut self, id: &RequestId, attempt: u32, never_ran: bool) -> Option<&Attempt> {
+        let open = self.open.get_mut(id)?;
+        let a = open.attempts.get_mut(attempt as usize).filter(|a| a.out)?;
+        (a.out, a.never_ran) = (false, never_ran);
+        if let Some(w) = self.workers.get_mut(&a.worker) {
+            w.out = w.out.saturating_sub(1);
+        }
+        if let Some(c) = self.functions[open.function].copies.get_mut(&a.worker) {
+            c.out = c.out.saturating_sub(1);
+        }
+        Some(a)
+    }
+}
+
+/// A number in 0..1 that depends on the function and the worker alone.
+pub(crate) fn unit_hash(name: &str, worker: WorkerId) -> f64 {
+    let seed = name.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |h, b| {
+        (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3) // FNV-1a
+    });
+    let mut h = seed ^ u64::from(worker).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    h = (h ^ (h >> 31)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    h = (h ^ (h >> 29)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    ((h ^ (h >> 32)) >> 11) as f64 / (1u64 << 53) as f64
+}
+
+/// A function's outlook over the horizon, in steps; Greek letters are the paper's.
+#[derive(Clone, Debug, Default)]
+pub struct Horizon {
+    /// λ: expected own arrivals in each step.
+    pub arrivals: Vec<f64>,
+    /// q: requests held now.
+    pub queue: f64,
+    /// w: warm copies now.
+    pub warm: f64,
+    /// Copies that become ready, in each step, from orders in hand.
+    pub change: Vec<f64>,
+    /// Lanes taken by other front ends' requests.
+    pub foreign: f64,
+    /// Lanes of a copy.
+    pub lanes: f64,
+    /// L_warm in steps.
+    pub service: f64,
+    /// D: steps from an order to a warm copy.
+    pub delay: usize,
+    /// α(L_cold + L_warm): worth lost by a request that meets no warm lane.
+    pub cold_pain: f64,
+    /// βL_warm: worth lost by a request that queues for a step.
+    pub wait_pain: f64,
+    /// δ: cost of a load.
+    pub load_cost: f64,
+    /// η: reward of a drop.
+    pub drop_reward: f64,
+    /// wmax: most copies.
+    pub most: f64,
+    /// x of the step before.
+    pub last_loads: f64,
+}
+
+/// Moves a running mean towards a sample; the first sample is taken whole.
+pub(crate) fn blend(mean: &mut f64, sample: f64, gain: f64) {
+    *mean += if *mean == 0.0 { sample } else { gain * (sample - *mean) };
+}
+
+/// The least-squares coefficient of a shape in a series, and the mean power it accounts for.
+pub(crate) fn fit(series: &[f64], shape: impl Fn(f64) -> f64) -> (f64, f64) {
+    let (mut dot, mut norm) = (0.0, 0.0);
+    for (i, y) in series.iter().enumerate() {
+        let b = shape(i as f64);
+        (dot, norm) = (dot + y * b, norm + b * b);
+    }
+    if norm > 0.0 {
+        (dot / norm, dot * dot / norm / series.len() as f64)
+    } else {
+        (0.0, 0.0)
+    }
+}
