--- a/src/choice.rs
+++ b/src/choice.rs
@@ -618,7 +618,7 @@
                 }
             }
             Miss => {
-                surprised = believed && c.used + fun.step < now;
+                surprised = believed;
                 (c.n, c.known, c.foreign) = (0, now, 0.0);
             }
             Full => {
@@ -816,7 +816,8 @@
         let delay = ((fun.load / step) as usize).clamp(1, MAX_DELAY);
         let steps = delay + BEYOND;
         let (mut warm, mut foreign, mut change) = (0.0, 0.0, vec![0.0; steps]);
-        let (mut newest, mut idlest): (Option<(Time, WorkerId)>, Option<(Time, WorkerId)>) = (None, None);
+        let mut newest = None::<(Time, WorkerId)>; // the last copies used, to be renewed
+        let mut idlest = newest;
         for (&id, c) in &fun.copies {
             let n = self.warm(f, id);
             for &(at, want) in c.orders.iter().filter(|o| o.1 > n) {
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,258 @@
+//! Settings for tests, and a checker of the rules that watches events and actions.
+#![allow(dead_code)]
+
+use badgerwind::interface::*;
+use badgerwind::Router;
+use std::collections::BTreeMap;
+
+pub const MS: u64 = 1000;
+
+pub fn settings(effect: Effect) -> Settings {
+    let class = Class {
+        aim: 1000 * MS,
+        deadline: 3000 * MS,
+        aim_stretch: 0.0,
+        effect,
+        group: Group::Zone,
+        window: 2000 * MS,
+        worth: 1.0,
+        late_worth: 0.2,
+        streaming: false,
+    };
+    Settings {
+        front_ends: 2,
+        my_number: 0,
+        my_zone: 0,
+        classes: vec![class],
+        tenants: vec![],
+        over_share_worth: 0.1,
+        discovery: Discovery::Push,
+        ask_within: 10_000 * MS,
+        when_absent: WhenAbsent::Miss,
+        keep_alive: 10_000 * MS,
+        memory_mb: vec![8000.0],
+        order_timeout: 10_000 * MS,
+        may_order: true,
+        marks_warm: true,
+        marks_crowd: true,
+        load_window: 5000 * MS,
+        load_free: 2.0,
+        load_share: 0.2,
+        idle_price: 0.0,
+        fetch_price: 0.1,
+        zone_price: 0.0,
+        max_attempts: 3,
+        may_cancel: true,
+        may_duplicate: false,
+        may_probe: true,
+        may_message: false,
+        max_retry_after: 0,
+        answer_slack: 8 * MS,
+        drain_grace: 500 * MS,
+        cold_from: 0.2,
+        warm_after: 15_000 * MS,
+        fall_multiple: 2.5,
+        fall_window: 1500 * MS,
+        round: 2 * MS,
+        report_mode: ReportMode::None,
+        report_fields: vec![],
+    }
+}
+
+pub fn entry(worker: WorkerId, availability: Availability, born: Option<Time>) -> WorkerEntry {
+    WorkerEntry { worker, zone: worker % 2, cell: worker / 2, kind: 0, size: 1.0, availability, born }
+}
+
+pub fn request(id: &str, function: &str, due: Time) -> Request {
+    Request {
+        id: id.into(),
+        retry: false,
+        tenant: 0,
+        hint: None,
+        function: function.into(),
+        memory_mb: 400.0,
+        lanes: 2,
+        class: 0,
+        due,
+        load_time: Some(600 * MS),
+    }
+}
+
+/// An attempt as the checker sees it.
+pub struct Tried {
+    pub worker: WorkerId,
+    pub at: Time,
+    pub ended: Option<Outcome>,
+    pub called_off: bool,
+}
+
+/// A router whose every event and action is checked against the rules.
+pub struct Bench {
+    pub router: Router,
+    pub set: Settings,
+    pub now: Time,
+    pub alarms: Vec<Time>,
+    pub due: BTreeMap<RequestId, Time>,
+    pub over: BTreeMap<RequestId, Time>,
+    pub tried: BTreeMap<RequestId, Vec<Tried>>,
+    pub loads: Vec<(Time, WorkerId, FunctionId, u32)>,
+    pub orders: Vec<Time>,
+    pub taken: Vec<Time>,
+    pub ready: BTreeMap<WorkerId, bool>,
+    pub acts: Vec<Action>,
+}
+
+impl Bench {
+    pub fn new(set: Settings, workers: u32) -> Self {
+        let router = Router::new(7, set.clone());
+        let mut b = Bench {
+            router,
+            set,
+            now: 1_000_000,
+            alarms: vec![],
+            due: BTreeMap::new(),
+            over: BTreeMap::new(),
+            tried: BTreeMap::new(),
+            loads: vec![],
+            orders: vec![],
+            taken: vec![],
+            ready: BTreeMap::new(),
+            acts: vec![],
+        };
+        let entries = (1..=workers).map(|w| entry(w, Availability::Ready, None)).collect();
+        b.event(Event::List { kind: ListKind::Cached, entries });
+        b
+    }
+
+    /// Hands in an event and checks what comes back.
+    pub fn event(&mut self, event: Event) -> Vec<Action> {
+        match &event {
+            Event::List { kind, entries } => {
+                if matches!(kind, ListKind::Whole | ListKind::Cached) {
+                    self.ready.values_mut().for_each(|r| *r = false);
+                }
+                for e in entries {
+                    self.ready.insert(e.worker, e.availability == Availability::Ready);
+                }
+            }
+            Event::Request(r) => {
+                self.taken.push(self.now);
+                self.due.insert(r.id.clone(), r.due);
+            }
+            Event::Answer { id, attempt, outcome, last, .. } => {
+                if let Some(t) = self.tried.get_mut(id).and_then(|t| t.get_mut(*attempt as usize)) {
+                    t.ended = Some(*outcome);
+                }
+                if *last {
+                    self.over.insert(id.clone(), self.now);
+                }
+            }
+            Event::ClientGone { id } => {
+                self.over.insert(id.clone(), self.now);
+            }
+            _ => {}
+        }
+        let mut out = Vec::new();
+        self.router.handle(self.now, event, &mut out);
+        for action in &out {
+            self.check(action);
+        }
+        self.acts.extend(out.iter().cloned());
+        out
+    }
+
+    fn check(&mut self, action: &Action) {
+        let now = self.now;
+        match action {
+            Action::Send { id, worker, .. } => {
+                assert!(!self.over.contains_key(id), "sent after its end");
+                assert!(self.ready[worker], "sent to a worker that drains or is gone");
+                let class = &self.set.classes[0];
+                let tried = self.tried.entry(id.clone()).or_default();
+                assert!((tried.len() as u32) < self.set.max_attempts, "more attempts than allowed");
+                let out = tried.iter().filter(|t| t.ended.is_none()).count();
+                assert!(out <= usize::from(self.set.may_duplicate), "two attempts out at once");
+                if let Some(first) = tried.iter().find(|t| !proves_never_ran(t.ended)) {
+                    match class.effect {
+                        Effect::Repeatable => {}
+                        Effect::Once => panic!("a once request sent again"),
+                        Effect::ByKey => {
+                            assert_eq!(first.worker % 2, worker % 2, "sent again outside its zone");
+                            assert!(now < first.at + class.window, "sent again after the window");
+                        }
+                    }
+                }
+                tried.push(Tried { worker: *worker, at: now, ended: None, called_off: false });
+            }
+            Action::Cancel { id, attempt } => {
+                let t = self.tried.get_mut(id).and_then(|t| t.get_mut(*attempt as usize));
+                t.expect("cancels an attempt that was never made").called_off = true;
+            }
+            Action::Refuse { id, .. } | Action::Fail { id } => {
+                assert!(self.over.insert(id.clone(), now).is_none(), "two final answers");
+                assert!(now <= self.due[id] + self.set.answer_slack, "answered too late");
+                let clean = self.tried.get(id).is_none_or(|t| t.iter().all(|t| proves_never_ran(t.ended)));
+                if matches!(action, Action::Refuse { .. }) {
+                    assert!(
+                        clean || self.set.classes[0].effect == Effect::Repeatable,
+                        "refused though it may have run"
+                    );
+                }
+            }
+            Action::Load { worker, function, copies } => {
+                self.loads.push((now, *worker, function.clone(), *copies));
+                if *copies > 0 {
+                    assert!(self.ready[worker], "load ordered at a worker that drains or is gone");
+                    self.orders.push(now);
+                    let window = self.set.load_window;
+                    let orders = self.orders.iter().filter(|&&t| t + window >= now).count() as f64;
+                    let taken = self.taken.iter().filter(|&&t| t + window > now).count() as f64;
+                    let most = self.set.load_free + self.set.load_share * taken;
+                    assert!(window == 0 || orders <= most, "{orders} orders where {most} are allowed");
+                }
+            }
+            Action::SetAlarm { after, .. } => self.alarms.push(now + after),
+            _ => {}
+        }
+    }
+
+    pub fn ask(&mut self, id: &str, function: &str, within: u64) -> Vec<Action> {
+        let due = self.now + within;
+        self.event(Event::Request(request(id, function, due)))
+    }
+
+    pub fn answer(&mut self, id: &str, attempt: u32, outcome: Outcome, mark: CopyMark) -> Vec<Action> {
+        let id: RequestId = id.into();
+        let (worker, lag) =
+            self.tried[&id].get(attempt as usize).map_or((1, 0), |t| (t.worker, self.now - t.at));
+        let (last, crowd, report) = (outcome == Outcome::Ok, Some(0), None);
+        self.event(Event::Answer { id, attempt, worker, outcome, last, lag, mark, crowd, report })
+    }
+
+    pub fn loaded(&mut self, order: usize, outcome: Outcome, copies: u32) -> Vec<Action> {
+        let (at, worker, function, _) = self.loads[order].clone();
+        self.event(Event::Loaded { worker, function, outcome, copies, lag: self.now - at })
+    }
+
+    /// Lets time pass, with the alarms that fall due.
+    pub fn pass(&mut self, span: u64) -> Vec<Action> {
+        let end = self.now + span;
+        let mut acts = Vec::new();
+        while let Some(at) = self.alarms.iter().copied().min().filter(|&t| t <= end) {
+            self.alarms.retain(|&t| t != at);
+            self.now = self.now.max(at);
+            acts.extend(self.event(Event::Alarm { name: "sweep".into() }));
+        }
+        self.now = end;
+        acts
+    }
+
+    pub fn sends(&self, id: &str) -> Vec<WorkerId> {
+        self.tried.get(id).map_or(vec![], |t| t.iter().map(|t| t.worker).collect())
+    }
+}
+
+pub fn proves_never_ran(outcome: Option<Outcome>) -> bool {
+    use Outcome::*;
+    matches!(outcome, Some(Full | ConnectFailed | Moot | Miss))
+}
--- /dev/null
+++ b/tests/module.rs
@@ -0,0 +1,427 @@
+//! Tests of the decision module, without the bench: each guards against a failure that was met or is stated.
+
+mod common;
+
+use badgerwind::choice::{cost, forecast, plan};
+use badgerwind::interface::*;
+use badgerwind::{Horizon, Router};
+use common::*;
+
+#[test]
+fn forecast_follows_a_ramp_but_not_beyond_its_clip() {
+    let bins: Vec<f64> = (0..32).map(f64::from).collect();
+    let ahead = forecast(&bins, 8);
+    let mean = 15.5;
+    assert!(ahead.iter().all(|&y| y > 25.0 && y < mean + 15.0), "{ahead:?}");
+}
+
+#[test]
+fn forecast_finds_a_timer() {
+    let bins: Vec<f64> = (0..32).map(|i| if i % 8 < 4 { 4.0 } else { 0.0 }).collect();
+    let ahead = forecast(&bins, 8);
+    let (on, off) = (ahead[..4].iter().sum::<f64>(), ahead[4..].iter().sum::<f64>());
+    assert!(on > 3.0 * off.max(0.1), "{ahead:?}");
+}
+
+#[test]
+fn forecast_of_silence_is_silence_and_of_a_flat_stream_flat() {
+    assert!(forecast(&[0.0; 32], 8).iter().all(|&y| y == 0.0));
+    assert!(forecast(&[3.0; 32], 8).iter().all(|&y| (y - 3.0).abs() < 1e-9));
+    assert!(forecast(&[], 4).iter().all(|&y| y == 0.0));
+}
+
+#[test]
+fn one_arrival_or_burst_is_not_taken_for_a_rising_trend() {
+    // Guards against what filled the fleet with needless copies: a lone arrival extrapolated as growth.
+    assert!(forecast(&[1.0], 8).iter().all(|&y| y < 0.1));
+    let mut bins = vec![0.0; 32];
+    bins[31] = 1.0;
+    assert!(forecast(&bins, 8).iter().all(|&y| y < 0.2), "{:?}", forecast(&bins, 8));
+    bins[31] = 10.0;
+    assert!(forecast(&bins, 8).iter().all(|&y| y < 2.0));
+}
+
+fn horizon(rate: f64, warm: f64, delay: usize) -> Horizon {
+    Horizon {
+        arrivals: vec![rate; delay + 4],
+        warm,
+        lanes: 1.0,
+        service: 1.0,
+        delay,
+        cold_pain: 0.9,
+        wait_pain: 0.2,
+        load_cost: 0.3,
+        most: 16.0,
+        ..Horizon::default()
+    }
+}
+
+#[test]
+fn the_greedy_search_is_close_to_brute_force_on_small_cases() {
+    for rate in [0.0, 0.2, 0.5, 1.0, 2.0] {
+        for warm in [0.0, 1.0, 3.0] {
+            let h = horizon(rate, warm, 2);
+            let mut best = f64::INFINITY;
+            for code in 0..4u32.pow(4) {
+                let x: Vec<u32> = (0..6).map(|k| if k < 4 { code / 4u32.pow(k) % 4 } else { 0 }).collect();
+                best = best.min(cost(&h, &x, 0));
+            }
+            let (loads, drops) = plan(&h);
+            assert!(loads == 0 || drops == 0, "never both");
+            // The first step of the plan, completed in the best way, costs little more than the best plan.
+            let mut ours = f64::INFINITY;
+            for code in 0..4u32.pow(3) {
+                let x: Vec<u32> = (0..6)
+                    .map(|k| {
+                        if k == 0 {
+                            loads
+                        } else if k < 4 {
+                            code / 4u32.pow(k - 1) % 4
+                        } else {
+                            0
+                        }
+                    })
+                    .collect();
+                ours = ours.min(cost(&h, &x, 0));
+            }
+            assert!(ours <= best + 0.1 * best.abs() + 0.05, "rate {rate} warm {warm}: {ours} against {best}");
+        }
+    }
+}
+
+#[test]
+fn the_search_loads_for_need_and_drops_only_for_a_reward() {
+    assert!(plan(&horizon(1.5, 0.0, 2)).0 > 0);
+    assert_eq!(plan(&horizon(0.0, 2.0, 2)).0, 0);
+    let mut h = horizon(0.0, 2.0, 2);
+    h.drop_reward = 1.0;
+    assert!(plan(&h).1 > 0);
+}
+
+#[test]
+fn a_miss_orders_one_copy_there_and_resends_when_it_stands() {
+    let mut b = Bench::new(settings(Effect::Once), 4);
+    b.ask("a", "f", 3000 * MS);
+    let worker = b.sends("a")[0];
+    b.now += MS;
+    b.answer("a", 0, Outcome::Miss, CopyMark::Untold);
+    let order = b.loads.iter().position(|l| l.3 > 0).expect("one copy ordered");
+    assert_eq!((b.loads[order].1, b.loads[order].3), (worker, 1));
+    b.now += 600 * MS;
+    b.loaded(order, Outcome::Ok, 1);
+    assert_eq!(b.sends("a"), vec![worker, worker]);
+}
+
+/// A bench with a warm copy of "f", and where it stands.
+fn warmed(effect: Effect) -> (Bench, WorkerId) {
+    let mut b = Bench::new(settings(effect), 4);
+    b.ask("warm", "f", 3000 * MS);
+    b.now += 100 * MS;
+    b.answer("warm", 0, Outcome::Ok, CopyMark::Warm);
+    let w = b.sends("warm")[0];
+    (b, w)
+}
+
+#[test]
+fn a_request_waits_for_a_busy_warm_lane_and_goes_out_when_it_frees() {
+    let (mut b, w) = warmed(Effect::Repeatable);
+    for id in ["1", "2", "3"] {
+        b.ask(id, "f", 3000 * MS);
+    }
+    assert_eq!((b.sends("1"), b.sends("2"), b.sends("3")), (vec![w], vec![w], vec![]));
+    b.now += 50 * MS;
+    b.answer("1", 0, Outcome::Ok, CopyMark::Warm);
+    assert_eq!(b.sends("3"), vec![w]);
+}
+
+#[test]
+fn held_requests_are_answered_before_the_client_gives_up() {
+    let mut b = Bench::new(settings(Effect::Once), 0);
+    b.ask("a", "f", 700 * MS);
+    b.pass(700 * MS);
+    assert!(b.over.contains_key("a"));
+}
+
+#[test]
+fn the_time_out_at_the_deadline_is_answered_and_the_clients_end_in_the_same_batch_ignored() {
+    let (mut b, _) = warmed(Effect::Once);
+    b.ask("a", "f", 500 * MS);
+    b.now += 500 * MS;
+    let acts = b.answer("a", 0, Outcome::Timeout, CopyMark::Untold);
+    assert!(acts.contains(&Action::Fail { id: "a".into() }));
+    assert!(b.event(Event::ClientGone { id: "a".into() }).is_empty());
+}
+
+#[test]
+fn outcomes_that_prove_nothing_end_a_once_request_and_others_let_it_go_on() {
+    for (outcome, again) in [
+        (Outcome::Error, false),
+        (Outcome::Timeout, false),
+        (Outcome::Reset, false),
+        (Outcome::Cancelled, false),
+        (Outcome::Full, true),
+        (Outcome::ConnectFailed, true),
+        (Outcome::Moot, true),
+    ] {
+        let (mut b, _) = warmed(Effect::Once);
+        b.ask("a", "f", 3000 * MS);
+        b.now += 10 * MS;
+        b.answer("a", 0, outcome, CopyMark::Untold);
+        assert_eq!(b.acts.contains(&Action::Fail { id: "a".into() }), !again, "{outcome:?}");
+    }
+}
+
+#[test]
+fn a_by_key_request_is_resent_only_in_its_zone() {
+    let (mut b, w) = warmed(Effect::ByKey);
+    b.ask("a", "f", 3000 * MS);
+    b.now += 10 * MS;
+    b.answer("a", 0, Outcome::Error, CopyMark::Untold);
+    b.pass(1500 * MS);
+    assert!(b.sends("a").iter().all(|o| o % 2 == w % 2));
+    b.pass(1490 * MS);
+    if b.tried["a"].len() > 1 {
+        b.answer("a", 1, Outcome::Timeout, CopyMark::Untold);
+    }
+    assert!(b.acts.contains(&Action::Fail { id: "a".into() }), "the zone group forbids a refusal");
+}
+
+#[test]
+fn nothing_goes_to_a_worker_that_drains_until_it_is_back() {
+    let (mut b, w) = warmed(Effect::Repeatable);
+    let entries = vec![entry(w, Availability::Draining, None)];
+    b.event(Event::List { kind: ListKind::Changes, entries });
+    b.ask("a", "f", 3000 * MS);
+    b.pass(200 * MS);
+    assert!(!b.sends("a").contains(&w));
+    // Back under the same id, with a new start: ready again, but empty.
+    let entries = vec![entry(w, Availability::Ready, Some(b.now))];
+    b.event(Event::List { kind: ListKind::Changes, entries });
+    b.ask("b", "f", 3000 * MS);
+    b.pass(100 * MS);
+}
+
+#[test]
+fn a_cold_worker_gets_a_small_share_in_every_window() {
+    let mut set = settings(Effect::Repeatable);
+    set.when_absent = WhenAbsent::Load;
+    let mut b = Bench::new(set, 0);
+    let entries = vec![entry(1, Availability::Ready, Some(b.now))];
+    b.event(Event::List { kind: ListKind::Whole, entries });
+    for n in 0..100 {
+        b.ask(&format!("{n}"), &format!("f{n}"), 3000 * MS);
+        b.pass(10 * MS);
+    }
+    let sent: usize = b.tried.values().map(Vec::len).sum();
+    assert!((1..=6).contains(&sent), "{sent} sends to a worker that has just started");
+}
+
+#[test]
+fn a_silent_worker_is_noticed_and_what_may_be_repeated_goes_elsewhere() {
+    let (mut b, w) = warmed(Effect::Repeatable);
+    b.ask("a", "f", 3000 * MS);
+    b.ask("b", "f", 3000 * MS);
+    assert_eq!(b.sends("a"), vec![w]);
+    b.pass(800 * MS);
+    assert!(b.acts.contains(&Action::Cancel { id: "a".into(), attempt: 0 }), "called off in time");
+    b.answer("a", 0, Outcome::Cancelled, CopyMark::Untold);
+    b.pass(100 * MS);
+    // What was ordered elsewhere meanwhile comes to stand.
+    for order in 0..b.loads.len() {
+        if b.loads[order].1 != w {
+            b.loaded(order, Outcome::Ok, b.loads[order].3);
+        }
+    }
+    assert!(b.sends("a").get(1).is_some_and(|&o| o != w), "{:?}", b.sends("a"));
+    b.ask("c", "f", 3000 * MS);
+    assert!(!b.sends("c").contains(&w));
+}
+
+#[test]
+fn fast_failures_do_not_attract_traffic_and_a_bad_fleet_is_still_used() {
+    let (mut b, w) = warmed(Effect::Repeatable);
+    for n in 0..6 {
+        let id = format!("e{n}");
+        b.ask(&id, "f", 3000 * MS);
+        if b.sends(&id) == vec![w] {
+            b.now += 2 * MS;
+            b.answer(&id, 0, Outcome::Error, CopyMark::Untold);
+        }
+    }
+    b.ask("x", "f", 3000 * MS);
+    assert!(!b.sends("x").contains(&w), "taken out");
+    // All fail: then all are used.
+    let mut one = Bench::new(settings(Effect::Repeatable), 1);
+    for n in 0..8 {
+        let id = format!("e{n}");
+        one.ask(&id, &format!("g{n}"), 3000 * MS);
+        one.now += 2 * MS;
+        if !one.sends(&id).is_empty() {
+            one.answer(&id, 0, Outcome::Error, CopyMark::Untold);
+        }
+    }
+    one.ask("x", "new", 3000 * MS);
+    assert_eq!(one.sends("x"), vec![1]);
+}
+
+#[test]
+fn a_worker_that_turns_away_gets_less() {
+    let (mut b, w) = warmed(Effect::Repeatable);
+    for id in ["1", "2"] {
+        b.ask(id, "f", 3000 * MS);
+    }
+    b.now += 5 * MS;
+    b.answer("1", 0, Outcome::Full, CopyMark::Untold);
+    b.ask("3", "f", 3000 * MS);
+    assert!(!b.sends("3").contains(&w), "one attempt is out, and its limit was cut to that");
+}
+
+#[test]
+fn several_beliefs_proven_false_together_withdraw_trust_from_the_rest() {
+    for void in [false, true] {
+        let mut b = Bench::new(settings(Effect::Repeatable), 6);
+        for n in 0..6 {
+            b.ask(&format!("w{n}"), &format!("f{n}"), 3000 * MS);
+            b.now += 50 * MS;
+            b.answer(&format!("w{n}"), 0, Outcome::Ok, CopyMark::Warm);
+        }
+        b.pass(3000 * MS);
+        for n in 0..5 {
+            b.ask(&format!("m{n}"), &format!("f{n}"), 3000 * MS);
+            b.now += MS;
+            let (outcome, mark) = (if void { Outcome::Miss } else { Outcome::Ok }, CopyMark::Warm);
+            b.answer(&format!("m{n}"), 0, outcome, mark);
+        }
+        // Two lanes stood at the home of f5. Believed, they take two requests; else one goes to find out.
+        b.ask("x", "f5", 3000 * MS);
+        b.ask("y", "f5", 3000 * MS);
+        let home = b.sends("w5")[0];
+        assert_eq!(b.sends("x"), vec![home]);
+        assert_eq!(b.sends("y") == vec![home], !void);
+    }
+}
+
+#[test]
+fn load_orders_keep_the_sliding_window() {
+    let mut b = Bench::new(settings(Effect::Repeatable), 6);
+    for n in 0..60 {
+        b.ask(&format!("{n}"), &format!("f{n}"), 3000 * MS);
+        b.now += MS;
+        b.answer(&format!("{n}"), 0, Outcome::Miss, CopyMark::Untold);
+        b.pass(20 * MS);
+    }
+    assert!(b.orders.len() >= 5, "orders are used, and the checker has held each against the window");
+}
+
+#[test]
+fn bad_input_neither_panics_nor_breaks_a_rule() {
+    let mut set = settings(Effect::Repeatable);
+    set.memory_mb.clear();
+    let mut b = Bench::new(set, 0);
+    b.ask("early", "f", 0);
+    b.event(Event::List { kind: ListKind::Whole, entries: vec![] });
+    let twice = vec![entry(1, Availability::Ready, None), entry(1, Availability::Draining, None)];
+    b.event(Event::List { kind: ListKind::Changes, entries: twice });
+    b.event(Event::List { kind: ListKind::Whole, entries: vec![entry(2, Availability::Ready, None)] });
+    let mut odd = request("odd", "zero", b.now + 3000 * MS);
+    (odd.lanes, odd.load_time, odd.tenant) = (0, None, 9);
+    b.event(Event::Request(odd));
+    let mut other = request("class", "f", b.now + 3000 * MS);
+    other.class = 5;
+    assert_eq!(b.event(Event::Request(other)).len(), 1);
+    for attempt in [0, 7] {
+        let (id, lag, mark) = ("nobody".into(), 5, CopyMark::Warm);
+        let (worker, outcome, last, crowd, report) = (9, Outcome::Ok, true, Some(3), None);
+        b.event(Event::Answer { id, attempt, worker, outcome, last, lag, mark, crowd, report });
+    }
+    b.event(Event::Alarm { name: "unknown".into() });
+    b.event(Event::Message { from: 3, bytes: vec![255; 300] });
+    let (function, outcome): (FunctionId, _) = ("zero".into(), Outcome::Ok);
+    b.event(Event::Loaded { worker: 77, function, outcome, copies: 3, lag: u64::MAX });
+    b.pass(4000 * MS);
+    let out = |id| b.tried.get(id).is_some_and(|t: &Vec<Tried>| t.iter().any(|t| t.ended.is_none()));
+    assert!(b.due.keys().all(|id| b.over.contains_key(id) || out(id)), "each has its answer");
+    assert!(b.over.len() >= 2);
+}
+
+/// Random legal streams of events: the checker watches the rules, every request ends, and the same events give
+/// the same actions.
+#[test]
+fn random_streams_keep_the_rules() {
+    for seed in 0..60 {
+        let effect = [Effect::Repeatable, Effect::ByKey, Effect::Once][seed as usize % 3];
+        let first = stream(seed, effect);
+        assert_eq!(first, stream(seed, effect), "seed {seed}");
+    }
+}
+
+fn stream(seed: u64, effect: Effect) -> Vec<Action> {
+    let mut rng = fastrand::Rng::with_seed(seed);
+    let mut set = settings(effect);
+    set.may_duplicate = seed % 2 == 0;
+    set.when_absent = if seed % 5 < 2 { WhenAbsent::Load } else { WhenAbsent::Miss };
+    let mut b = Bench::new(set, 5);
+    let mut answered = 0;
+    for n in 0..250 {
+        // Time passes, but not beyond a deadline with an attempt out: that attempt times out there.
+        let target = b.now + rng.u64(0..40) * MS;
+        while let Some((due, id)) = (b.tried.iter())
+            .filter(|(id, t)| !b.over.contains_key(*id) && t.iter().any(|t| t.ended.is_none()))
+            .map(|(id, _)| (b.due[id], id.clone()))
+            .min()
+            .filter(|(due, _)| *due <= target)
+        {
+            b.pass(due.saturating_sub(b.now));
+            for k in (0..b.tried[&id].len()).filter(|&k| b.tried[&id][k].ended.is_none()).collect::<Vec<_>>()
+            {
+                b.answer(&id, k as u32, Outcome::Timeout, CopyMark::Untold);
+            }
+        }
+        b.pass(target.saturating_sub(b.now));
+        if rng.u8(0..3) > 0 {
+            b.ask(&format!("{n}"), &format!("f{}", rng.u8(0..6)), rng.u64(0..3000) * MS);
+        }
+        if rng.u8(0..25) == 0 {
+            let state = [Availability::Ready, Availability::Draining, Availability::Gone][rng.usize(0..3)];
+            let born = (state == Availability::Ready && rng.bool()).then_some(b.now);
+            let entries = vec![entry(rng.u32(1..6), state, born)];
+            b.event(Event::List { kind: ListKind::Changes, entries });
+        }
+        let out: Vec<(RequestId, u32, Time)> = b
+            .tried
+            .iter()
+            .flat_map(|(id, t)| t.iter().enumerate().map(move |(k, t)| (id.clone(), k as u32, t)))
+            .filter(|(_, _, t)| t.ended.is_none())
+            .map(|(id, k, t)| (id, k, t.at))
+            .collect();
+        for (id, k, at) in out {
+            let over = b.over.contains_key(&id);
+            if over || (b.now > at + 50 * MS && rng.u8(0..3) == 0) {
+                use Outcome::*;
+                let kinds = [Ok, Ok, Ok, Ok, Error, Full, Miss, Reset, ConnectFailed];
+                let outcome = if over { Cancelled } else { kinds[rng.usize(0..kinds.len())] };
+                b.answer(&id, k, outcome, CopyMark::Untold);
+            }
+        }
+        while answered < b.loads.len() && rng.u8(0..3) > 0 {
+            let outcome = [Outcome::Ok, Outcome::Ok, Outcome::Full, Outcome::Error][rng.usize(0..4)];
+            b.loaded(answered, outcome, b.loads[answered].3);
+            answered += 1;
+        }
+    }
+    b.acts
+}
+
+#[test]
+fn front_ends_that_share_nothing_choose_the_same_home() {
+    let home = |seed| {
+        let mut out = Vec::new();
+        let mut r = Router::new(seed, settings(Effect::Repeatable));
+        let entries = (1..9).map(|w| entry(w, Availability::Ready, None)).collect();
+        r.handle(1, Event::List { kind: ListKind::Cached, entries }, &mut out);
+        r.handle(2, Event::Request(request("a", "f", 3_000_000)), &mut out);
+        out.into_iter().find_map(|a| if let Action::Send { worker, .. } = a { Some(worker) } else { None })
+    };
+    assert!(home(1).is_some());
+    assert_eq!(home(1), home(2));
+}
