Under pressure, held requests past their aim are refused early

Cause: lanes went to requests whose aim had passed. It acts only while more requests are held than there are workers.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -269,8 +269,7 @@
         let (f, new) = self.function(&r);
         self.m.open.insert(r.id.clone(), Open::new(f, &r, now));
         if new && self.set.may_order {
-            // First sight of a function: ask its other homes what stands there. That ends a restart's loss of
-            // the tally in one round trip, whatever loaded the copies.
+            // First sight of a function: its other homes tell what stands; a restart relearns in a round trip.
             for worker in self.homes(f).into_iter().skip(1).take(ASKED_HOMES) {
                 out.push(Action::Load { worker, function: r.function.clone(), copies: 0 });
                 self.m.functions[f].copies.entry(worker).or_default().orders.push((now, 0));
@@ -317,8 +316,8 @@
         let mut waiting = Vec::new();
         for id in held {
             let open = &self.m.open[&id];
-            // Rule 1: the last sweep before the client gives up answers. Traffic over its share yields first.
-            let yields = pressed && self.over_share(open) && self.may_refuse(open);
+            // Rule 1: the last sweep before the client gives up answers. Late and over-share traffic yields.
+            let yields = pressed && (self.late(open) || self.over_share(open)) && self.may_refuse(open);
             let choice = if self.too_late(open) { None } else { Some(self.choose(f, open, waiting.len())) };
             match choice {
                 Some(Choice::Send(w)) => self.send(&id, w, out),
@@ -337,12 +336,15 @@
         open.due <= self.now + self.sweep + 2 * self.set.round
     }
 
+    /// One that can no longer make its aim yields to those that can.
+    fn late(&self, open: &Open) -> bool {
+        self.now as f64 + self.service(open.function) > (open.since + self.set.classes[open.class].aim) as f64
+    }
+
     fn worth(&self, open: &Open) -> f64 {
         let class = &self.set.classes[open.class];
-        // One that can no longer make its aim yields to those that can.
-        let late = self.now as f64 + self.service(open.function) > (open.since + class.aim) as f64;
         let share = if self.over_share(open) { self.set.over_share_worth } else { 1.0 };
-        class.worth * share * if late { class.late_worth } else { 1.0 }
+        class.worth * share * if self.late(open) { class.late_worth } else { 1.0 }
     }
 
     fn over_share(&self, open: &Open) -> bool {
@@ -888,8 +890,7 @@
         }
     }
 
-    /// A failure of weight 1, or 2 where it cannot be reached or keeps silent. One taken out gets a trickle
-    /// after `pause`, then after twice as long, and so on.
+    /// A failure of weight 1, or 2 where it cannot be reached or is silent; each makes the pause longer.
     fn fail(&mut self, weight: f64, now: Time, pause: Span) {
         self.fails += FAIL_GAIN * weight * (1.0 - self.fails);
         if self.fails > TRIP || self.tripped {
