--- a/src/choice.rs
+++ b/src/choice.rs
@@ -269,7 +269,7 @@
         let (f, new) = self.function(&r);
         self.m.open.insert(r.id.clone(), Open::new(f, &r, now));
         if new && self.set.may_order {
-            // First sight of a function: its other homes tell what stands; a restart relearns in a round trip.
+            // First sight of a function: its other homes tell what stands, so a restart relearns at once.
             for worker in self.homes(f).into_iter().skip(1).take(ASKED_HOMES) {
                 out.push(Action::Load { worker, function: r.function.clone(), copies: 0 });
                 self.m.functions[f].copies.entry(worker).or_default().orders.push((now, 0));
