--- a/src/choice.rs
+++ b/src/choice.rs
@@ -46,7 +46,6 @@
 const FAIL_GAIN: f64 = 0.2; // Health: weight of an outcome in the running share of failures.
 const TRIP: f64 = 0.3; // That share takes a worker out: two failures in a row, or a third of all.
 const CLOSE: f64 = 0.12; // That share lets it back.
-const RETRY_SHARE: f64 = 0.1; // Attempts sent elsewhere from silent workers, by requests taken: no storm.
 const OVERDUE: u64 = 3; // An attempt is overdue after this many times its expected service time.
 const SWEEPS_PER_AIM: u64 = 16; // Sweeps in the shortest aim: how fast silence is seen and plans are made.
 const BACKOFF: u64 = 4; // First back-off of a worker taken out, in sweeps.
@@ -790,25 +789,16 @@
             }
         }
         // Repeatable requests out at a worker taken out go elsewhere: at once, or after they are called off.
-        let (mut again, keep) = (Vec::new(), self.keep());
-        let mut left = RETRY_SHARE * self.m.rate.get(now, keep) + 1.0 - self.m.retries.get(now, keep);
+        let mut again = Vec::new();
         for (id, o) in self.m.open.iter_mut().filter(|(_, o)| !o.over && !o.stream) {
             let spent = o.attempts.len() >= self.set.max_attempts as usize;
             let repeat = self.set.classes[o.class].effect == Effect::Repeatable && !spent;
             let Some(n) = o.attempts.len().checked_sub(1).filter(|_| repeat) else { continue };
             let a = &mut o.attempts[n];
             let w = &self.m.workers[&a.worker];
-            if left <= 0.0
-                || !a.out
-                || a.called_off
-                || !w.tripped
-                || w.heard > a.sent
-                || now < a.sent + a.expected / 2
-            {
+            if !a.out || a.called_off || !w.tripped || w.heard > a.sent || now < a.sent + a.expected / 2 {
                 continue;
             }
-            left -= 1e6 / keep;
-            self.m.retries.add(now, keep, 1e6 / keep);
             if self.set.may_duplicate {
                 a.expected = self.set.classes[o.class].deadline; // one second copy only
                 again.push((o.function, id.clone()));
--- a/src/state.rs
+++ b/src/state.rs
@@ -212,7 +212,6 @@
     pub arrivals: Recent,
     pub orders: Recent,
     pub rate: Decay,
-    pub retries: Decay,
     pub tenant_rate: Vec<Decay>,
     pub class_mean: Vec<f64>,
     /// Beliefs proven false lately.
