--- a/src/choice.rs
+++ b/src/choice.rs
@@ -624,7 +624,7 @@
                 (c.n, c.known, c.foreign) = (0, now, 0.0);
             }
             Full => {
-                w.full_until = now + sweep * BACKOFF;
+                w.full_until = now + sweep;
                 w.cut(now, sweep);
             }
             Error if mark == CopyMark::LoadFailed => c.n = 0,
