--- a/src/choice.rs
+++ b/src/choice.rs
@@ -33,7 +33,8 @@
 const MOST_COPIES: u32 = 16; // Most copies that one order may ask for; wmax is this at every worker.
 const WORKER_LOADS: u32 = 3; // Own loads in hand at one worker: workers run a few and turn the rest away.
 const LOAD_GUESS: f64 = 0.08; // Load time where none is told or seen, as a share of the keep-alive.
-const ASKED_HOMES: usize = 2; // Homes asked beside the first at the first sight of a function.
+const ASKERS: f64 = 8.0; // Front ends in all that ask, at first sight of a function, what its second home holds.
+const OTHERS: f64 = 3.0; // Uses by other front ends within a keep-alive that make a copy theirs to keep too.
 const CLEARLY: f64 = 1.5; // How much busier the first home must look before the second is taken.
 const BUSY_LANES: f64 = 4.0; // Own requests that load a worker of size 1 about once over.
 const RETRY_PAIN: f64 = 0.3; // Share of the aim that a failure costs where the request can be repeated.
@@ -46,7 +47,8 @@
 const FAIL_GAIN: f64 = 0.2; // Health: weight of an outcome in the running share of failures.
 const TRIP: f64 = 0.3; // That share takes a worker out: two failures in a row, or a third of all.
 const CLOSE: f64 = 0.12; // That share lets it back.
-const OVERDUE: u64 = 3; // An attempt is overdue after this many times its expected service time.
+const OVERDUE: f64 = 6.0; // First guess of the service time, in means, that one answer in 100 exceeds...
+const OVERDUE_SHARE: f64 = 0.01; // ...then learned: an attempt that takes longer is overdue.
 const SWEEPS_PER_AIM: u64 = 16; // Sweeps in the shortest aim: how fast silence is seen and plans are made.
 const BACKOFF: u64 = 4; // First back-off of a worker taken out, in sweeps.
 const MOST_BACKOFF: u64 = 16; // The longest, in first ones.
@@ -193,6 +195,8 @@
     trust_from: Time,
     asked_at: Time,
     logged_at: Time,
+    /// Service time, in expected ones, that hardly an answer exceeds.
+    tail: f64,
 }
 
 impl Router {
@@ -204,7 +208,18 @@
         m.tenant_rate.resize(settings.tenants.len(), Decay::default());
         m.class_mean.resize(settings.classes.len(), 0.0);
         let (rng, began) = (fastrand::Rng::with_seed(seed), None);
-        Router { set: settings, rng, m, now: 0, began, sweep, trust_from: 0, asked_at: 0, logged_at: 0 }
+        Router {
+            set: settings,
+            rng,
+            m,
+            now: 0,
+            began,
+            sweep,
+            trust_from: 0,
+            asked_at: 0,
+            logged_at: 0,
+            tail: OVERDUE,
+        }
     }
 
     /// Takes in an event and adds what is to be done.
@@ -268,9 +283,10 @@
         }
         let (f, new) = self.function(&r);
         self.m.open.insert(r.id.clone(), Open::new(f, &r, now));
-        if new && self.set.may_order {
-            // First sight of a function: its other homes tell what stands, so a restart relearns at once.
-            for worker in self.homes(f).into_iter().skip(1).take(ASKED_HOMES) {
+        let asks = self.rng.f64() * f64::from(self.set.front_ends) < ASKERS;
+        if new && self.set.may_order && asks {
+            // First sight of a function: its second home tells what stands, so a restart relearns at once.
+            if let Some(&worker) = self.homes(f).get(1) {
                 out.push(Action::Load { worker, function: r.function.clone(), copies: 0 });
                 self.m.functions[f].copies.entry(worker).or_default().orders.push((now, 0));
             }
@@ -283,6 +299,12 @@
         self.set.keep_alive.max(self.sweep) as f64
     }
 
+    /// Uses of a function by other front ends within a keep-alive, were they like this one's.
+    fn others(&self, f: usize) -> f64 {
+        let uses = self.m.functions[f].uses.get(self.now, 2.0 * self.keep());
+        uses * f64::from(self.set.front_ends.saturating_sub(1))
+    }
+
     /// The function of a request, its arrival booked; true at its first sight.
     fn function(&mut self, r: &Request) -> (usize, bool) {
         let (now, keep, began) = (self.now, self.keep(), self.began.unwrap_or(self.now));
@@ -524,7 +546,7 @@
         let warm = self.warm(f, worker) > 0;
         let load = if warm { 0.0 } else { self.m.functions[f].load };
         let slow = self.m.workers.get(&worker).map_or(1.0, |w| w.slow.max(1.0));
-        let expected = (self.service(f) * slow * OVERDUE as f64 + load) as Span;
+        let expected = (self.service(f) * slow * self.tail + load) as Span;
         self.m.begin_attempt(id, worker, self.now, expected);
         self.m.functions[f]
             .copies
@@ -606,6 +628,10 @@
                     blend(&mut fun.load, (time - fun.mean).max(least), FAST_GAIN);
                 } else if mark != CopyMark::WaitedForLoad {
                     let rel = w.slow / mean_slow;
+                    // A running quantile: up by much for the few that exceed it, down by little for the others.
+                    let over = time > fun.mean.max(1.0) * self.tail * rel.max(1.0);
+                    let share = if over { 1.0 - OVERDUE_SHARE } else { -OVERDUE_SHARE };
+                    self.tail = (self.tail * (1.0 + FAST_GAIN * share)).max(OVERDUE / 2.0);
                     let base = if fun.mean > 0.0 { fun.mean } else { time / rel };
                     w.slow += GAIN * ((time / base).clamp(0.2, 8.0) * mean_slow.min(1.5) - w.slow);
                     blend(&mut fun.mean, time / rel, GAIN);
@@ -839,8 +865,11 @@
             }
         }
         // Renewal: the last copies of a function still in use are held again before they can age out.
+        // What other front ends use as well stays by their use, and is not this one's to drop.
+        let shared = self.others(f) > OTHERS;
         let in_use =
             fun.uses.get(now, 2.0 * keep) > RENEW_USES && fun.used as f64 + RENEW_GAP * keep > now as f64;
+        let in_use = in_use && !shared;
         if let Some((used, id)) = newest.filter(|_| in_use && self.order_room(AHEAD_SHARE)) {
             if now + 2 * fun.step + self.sweep > used + self.set.keep_alive {
                 let n = self.warm(f, id);
@@ -874,7 +903,7 @@
         }
         // Drops act on long-idle copies only, and where memory is priced.
         let long = |i: &(Time, WorkerId)| i.0 + self.set.keep_alive / 2 < now && Some(*i) != newest;
-        if let Some((_, id)) = idlest.filter(|i| drops > 0 && self.set.idle_price > 0.0 && long(i)) {
+        if let Some((_, id)) = idlest.filter(|i| drops > 0 && self.set.idle_price > 0.0 && long(i) && !shared) {
             self.drop_copies(f, id, out);
         }
     }
