--- a/src/choice.rs
+++ b/src/choice.rs
@@ -34,6 +34,8 @@
 const WORKER_LOADS: u32 = 3; // Own loads in hand at one worker: workers run a few and turn the rest away.
 const LOAD_GUESS: f64 = 0.08; // Load time where none is told or seen, as a share of the keep-alive.
 const ASKERS: f64 = 8.0; // Front ends in all that ask, at first sight of a function, what its second home holds.
+const HOME_LOAD: f64 = 0.3; // A shared function's part at one home, in a worker's fair part of all: more homes beyond.
+const CROWDING: f64 = 0.3; // What each request of others for the function adds to the time there, in service times.
 const OTHERS: f64 = 3.0; // Uses by other front ends within a keep-alive that make a copy theirs to keep too.
 const CLEARLY: f64 = 1.5; // How much busier the first home must look before the second is taken.
 const BUSY_LANES: f64 = 4.0; // Own requests that load a worker of size 1 about once over.
@@ -251,6 +253,7 @@
     /// Rule 3 follows from here: nothing new goes to a worker that is not `ready`, from this moment on.
     fn on_list(&mut self, kind: ListKind, entries: Vec<WorkerEntry>) {
         let now = self.now;
+        self.m.list += 1;
         if matches!(kind, ListKind::Whole | ListKind::Cached) {
             self.m.workers.values_mut().for_each(|w| w.ready = false);
         }
@@ -282,11 +285,12 @@
             rate.add(now, keep * FLOOD_SPAN, 1e6 / (keep * FLOOD_SPAN)); // short, so that a flood shows soon
         }
         let (f, new) = self.function(&r);
+        self.refresh(f);
         self.m.open.insert(r.id.clone(), Open::new(f, &r, now));
         let asks = self.rng.f64() * f64::from(self.set.front_ends) < ASKERS;
         if new && self.set.may_order && asks {
             // First sight of a function: its second home tells what stands, so a restart relearns at once.
-            if let Some(&worker) = self.homes(f).get(1) {
+            if let Some(&worker) = self.m.functions[f].homes.get(1) {
                 out.push(Action::Load { worker, function: r.function.clone(), copies: 0 });
                 self.m.functions[f].copies.entry(worker).or_default().orders.push((now, 0));
             }
@@ -328,6 +332,7 @@
 
     /// Serves the held requests of a function, worthiest and most urgent first.
     fn dispatch(&mut self, f: usize, out: &mut Vec<Action>) {
+        self.refresh(f);
         let mut held = std::mem::take(&mut self.m.functions[f].held);
         held.sort_by(|a, b| {
             let (x, y) = (&self.m.open[a], &self.m.open[b]);
@@ -379,13 +384,33 @@
     // ---- The choice of a worker. ----
 
     /// Workers in the function's own order (rendezvous hash, by size): front ends that share nothing agree.
-    fn homes(&self, f: usize) -> Vec<WorkerId> {
-        let name = &self.m.functions[f].name;
-        let ready = self.m.workers.iter().filter(|(_, w)| w.ready);
-        let place = |(&id, w): (&WorkerId, &Worker)| (-unit_hash(name, id).max(1e-12).ln() / w.size, id);
-        let mut order: Vec<(f64, WorkerId)> = ready.map(place).collect();
-        order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
-        order.into_iter().map(|(_, id)| id).collect()
+    /// It changes with the list only. The first `spread` of them take what is shared with other front ends.
+    fn refresh(&mut self, f: usize) {
+        let shared = self.others(f) > OTHERS;
+        let all: f64 = self.m.rate.get(self.now, self.keep()) * self.keep() / 1e6;
+        let Memory { workers, functions, list, .. } = &mut self.m;
+        let fun = &mut functions[f];
+        if fun.listed != *list {
+            let ready = workers.iter().filter(|(_, w)| w.ready);
+            let place = |(&id, w): (&WorkerId, &Worker)| (-unit_hash(&fun.name, id).max(1e-12).ln() / w.size, id);
+            let mut order: Vec<(f64, WorkerId)> = ready.map(place).collect();
+            order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+            (fun.homes, fun.listed) = (order.into_iter().map(|(_, id)| id).collect(), *list);
+        }
+        let part = fun.uses.get(self.now, 2.0 * self.set.keep_alive as f64) / all.max(1.0);
+        let homes = (part * fun.homes.len() as f64 / HOME_LOAD).ceil() as usize;
+        fun.spread = if shared { homes.clamp(1, fun.homes.len().max(1)) } else { 0 };
+        for id in &fun.homes[..fun.spread.min(fun.homes.len())] {
+            fun.copies.entry(*id).or_default();
+        }
+    }
+
+    /// Copies to count on: those believed warm; at a shared function's homes one, unless news says none.
+    fn stands(&self, f: usize, worker: WorkerId) -> u32 {
+        let (fun, warm) = (&self.m.functions[f], self.warm(f, worker));
+        let cold = |c: &Copies| c.known > 0 && c.n == 0 && c.known + COLD_NEWS * fun.load as u64 > self.now;
+        let home = fun.homes.iter().take(fun.spread).any(|&h| h == worker);
+        if warm == 0 && home && !fun.copies.get(&worker).is_some_and(cold) { 1 } else { warm }
     }
 
     /// Copies believed warm: proven within the keep-alive and not before trust was withdrawn.
@@ -450,7 +475,7 @@
         let mut frees: Vec<f64> = Vec::new();
         for (&id, c) in &fun.copies {
             let Some(w) = self.m.workers.get(&id).filter(|w| w.ready) else { continue };
-            let warm = self.warm(f, id);
+            let warm = self.stands(f, id);
             for &(at, want) in c.orders.iter().filter(|o| o.1 > warm) {
                 let ready = (at as f64 + fun.load - now as f64).max(fun.load / 4.0);
                 frees.extend((0..(want - warm) * fun.lanes).map(|_| ready));
@@ -461,7 +486,11 @@
             let old = now.saturating_sub(c.known) as f64 / fun.load;
             let taken = f64::from(c.out) + c.foreign * (-old).exp();
             let time = mean * self.busy(w);
-            if taken + 0.5 < f64::from(warm * fun.lanes) {
+            // Shared homes: others come and go unseen, so crowding is a price, and chance spreads the calls.
+            let shared = fun.spread > 0 && c.out < warm * fun.lanes;
+            let crowd = 1.0 + CROWDING * c.foreign + unit_hash(&open.id, id);
+            let time = if shared { time * crowd } else { time };
+            if shared || taken + 0.5 < f64::from(warm * fun.lanes) {
                 // The one that answers soonest; failures seen weigh most where a failed request is lost.
                 let fails = w.fails * aim * if class.effect == Effect::Once { 1.0 } else { RETRY_PAIN };
                 let cross = if w.zone == self.set.my_zone { 0.0 } else { self.set.zone_price * aim };
@@ -486,7 +515,7 @@
             return Choice::Wait;
         }
         // No warm lane soon. The pick: the worker last found warm, else a first home; unless known cold.
-        let homes = self.homes(f);
+        let homes = &fun.homes;
         let stale = fun.copies.iter().filter(|(id, c)| c.n > 0 && c.out == 0 && may(**id) && !tried(**id));
         let last = stale.max_by_key(|(_, c)| c.used).map(|(&id, _)| id);
         let pick = last.or_else(|| homes.iter().take(2).find(|id| may(**id) && !tried(**id)).copied());
@@ -684,7 +713,9 @@
             let room = self.now >= w.no_load_until && w.loads < WORKER_LOADS;
             room && (!w.tripped || self.all_bad()) && self.capacity(w) > LOAD_CAPACITY
         };
-        let homes: Vec<WorkerId> = self.homes(f).into_iter().filter(|id| fit(&self.m.workers[id])).collect();
+        let near = if fun.spread > 0 { fun.spread + 1 } else { fun.homes.len() };
+        let homes: Vec<_> =
+            fun.homes.iter().take(near).copied().filter(|id| fit(&self.m.workers[id])).collect();
         let count = |id: &WorkerId| self.warm(f, *id).max(fun.copies.get(id).map_or(0, Copies::coming));
         let least = homes.iter().map(count).min()?;
         let mut free = homes.into_iter().filter(|id| count(id) == least);
--- a/src/state.rs
+++ b/src/state.rs
@@ -144,6 +144,10 @@
     pub last_loads: f64,
     pub held: Vec<RequestId>,
     pub copies: BTreeMap<WorkerId, Copies>,
+    /// Workers in its own order, the list they are of, and how many of them share it among front ends.
+    pub homes: Vec<WorkerId>,
+    pub listed: u64,
+    pub spread: usize,
 }
 
 impl Function {
@@ -185,6 +189,7 @@
 /// A request that is not forgotten yet.
 #[derive(Debug)]
 pub(crate) struct Open {
+    pub id: RequestId,
     pub function: usize,
     pub class: usize,
     pub tenant: usize,
@@ -198,7 +203,7 @@
 impl Open {
     pub(crate) fn new(function: usize, r: &Request, since: Time) -> Self {
         let (class, tenant, due) = (r.class, r.tenant, r.due);
-        Open { function, class, tenant, due, since, over: false, stream: false, attempts: Vec::new() }
+        Open { id: r.id.clone(), function, class, tenant, due, since, over: false, stream: false, attempts: Vec::new() }
     }
 }
 
@@ -214,6 +219,8 @@
     pub rate: Decay,
     pub tenant_rate: Vec<Decay>,
     pub class_mean: Vec<f64>,
+    /// Number of the list, counted up at each change.
+    pub list: u64,
     /// Beliefs proven false lately.
     pub surprises: VecDeque<(Time, WorkerId)>,
 }
