--- a/src/choice.rs
+++ b/src/choice.rs
@@ -35,6 +35,7 @@
 const LOAD_GUESS: f64 = 0.08; // Load time where none is told or seen, as a share of the keep-alive.
 const ASKERS: f64 = 8.0; // Front ends in all that ask, at first sight of a function, what its second home holds.
 const HOME_LOAD: f64 = 0.3; // A shared function's part at one home, in a worker's fair part of all: more homes beyond.
+const FEW: f64 = 20.0; // Requests beside which those seen within a keep-alive count as the mix.
 const CROWDING: f64 = 0.3; // What each request of others for the function adds to the time there, in service times.
 const OTHERS: f64 = 3.0; // Uses by other front ends within a keep-alive that make a copy theirs to keep too.
 const CLEARLY: f64 = 1.5; // How much busier the first home must look before the second is taken.
@@ -397,7 +398,9 @@
             order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
             (fun.homes, fun.listed) = (order.into_iter().map(|(_, id)| id).collect(), *list);
         }
-        let part = fun.uses.get(self.now, 2.0 * self.set.keep_alive as f64) / all.max(1.0);
+        // One or two uses prove no large part: what chance alone explains is left out, and few are no mix.
+        let uses = fun.uses.get(self.now, 2.0 * self.set.keep_alive as f64);
+        let part = (uses - uses.sqrt()).max(0.0) / (all + FEW);
         let homes = (part * fun.homes.len() as f64 / HOME_LOAD).ceil() as usize;
         fun.spread = if shared { homes.clamp(1, fun.homes.len().max(1)) } else { 0 };
         for id in &fun.homes[..fun.spread.min(fun.homes.len())] {
