Homes of a shared function follow the crowd marks

The marks tell of all front ends, so a front end that sees a function seldom still learns how hot it is.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -36,6 +36,8 @@
 const ASKERS: f64 = 8.0; // Front ends in all that ask, at first sight of a function, what its second home holds.
 const HOME_LOAD: f64 = 0.3; // A shared function's part at one home, in a worker's fair part of all: more homes beyond.
 const FEW: f64 = 20.0; // Requests beside which those seen within a keep-alive count as the mix.
+const CROWD: f64 = 0.7; // Requests of others for a shared function at each home, which its homes are spread to meet.
+const REACH_GAIN: f64 = 0.2; // Weight of one crowd mark in that; it at most doubles the homes.
 const CROWDING: f64 = 0.3; // What each request of others for the function adds to the time there, in service times.
 const OTHERS: f64 = 3.0; // Uses by other front ends within a keep-alive that make a copy theirs to keep too.
 const CLEARLY: f64 = 1.5; // How much busier the first home must look before the second is taken.
@@ -393,7 +395,8 @@
         let fun = &mut functions[f];
         if fun.listed != *list {
             let ready = workers.iter().filter(|(_, w)| w.ready);
-            let place = |(&id, w): (&WorkerId, &Worker)| (-unit_hash(&fun.name, id).max(1e-12).ln() / w.size, id);
+            let place =
+                |(&id, w): (&WorkerId, &Worker)| (-unit_hash(&fun.name, id).max(1e-12).ln() / w.size, id);
             let mut order: Vec<(f64, WorkerId)> = ready.map(place).collect();
             order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
             (fun.homes, fun.listed) = (order.into_iter().map(|(_, id)| id).collect(), *list);
@@ -402,7 +405,9 @@
         let uses = fun.uses.get(self.now, 2.0 * self.set.keep_alive as f64);
         let part = (uses - uses.sqrt()).max(0.0) / (all + FEW);
         let homes = (part * fun.homes.len() as f64 / HOME_LOAD).ceil() as usize;
-        fun.spread = if shared { homes.clamp(1, fun.homes.len().max(1)) } else { 0 };
+        let most = fun.homes.len().max(1);
+        fun.reach = fun.reach.clamp(1.0, most as f64);
+        fun.spread = if shared { homes.max(fun.reach.round() as usize).clamp(1, most) } else { 0 };
         for id in &fun.homes[..fun.spread.min(fun.homes.len())] {
             fun.copies.entry(*id).or_default();
         }
@@ -413,7 +418,11 @@
         let (fun, warm) = (&self.m.functions[f], self.warm(f, worker));
         let cold = |c: &Copies| c.known > 0 && c.n == 0 && c.known + COLD_NEWS * fun.load as u64 > self.now;
         let home = fun.homes.iter().take(fun.spread).any(|&h| h == worker);
-        if warm == 0 && home && !fun.copies.get(&worker).is_some_and(cold) { 1 } else { warm }
+        if warm == 0 && home && !fun.copies.get(&worker).is_some_and(cold) {
+            1
+        } else {
+            warm
+        }
     }
 
     /// Copies believed warm: proven within the keep-alive and not before trust was withdrawn.
@@ -647,6 +656,9 @@
             w.heard = now;
         }
         let mut surprised = false;
+        if let Some(n) = others.filter(|_| fun.spread > 0) {
+            fun.reach *= 1.0 + (REACH_GAIN * (n / CROWD - 1.0)).min(1.0);
+        }
         match outcome {
             Ok => {
                 w.pass();
@@ -937,7 +949,8 @@
         }
         // Drops act on long-idle copies only, and where memory is priced.
         let long = |i: &(Time, WorkerId)| i.0 + self.set.keep_alive / 2 < now && Some(*i) != newest;
-        if let Some((_, id)) = idlest.filter(|i| drops > 0 && self.set.idle_price > 0.0 && long(i) && !shared) {
+        if let Some((_, id)) = idlest.filter(|i| drops > 0 && self.set.idle_price > 0.0 && long(i) && !shared)
+        {
             self.drop_copies(f, id, out);
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -148,6 +148,8 @@
     pub homes: Vec<WorkerId>,
     pub listed: u64,
     pub spread: usize,
+    /// As many as crowd marks ask for.
+    pub reach: f64,
 }
 
 impl Function {
@@ -203,7 +205,17 @@
 impl Open {
     pub(crate) fn new(function: usize, r: &Request, since: Time) -> Self {
         let (class, tenant, due) = (r.class, r.tenant, r.due);
-        Open { id: r.id.clone(), function, class, tenant, due, since, over: false, stream: false, attempts: Vec::new() }
+        Open {
+            id: r.id.clone(),
+            function,
+            class,
+            tenant,
+            due,
+            since,
+            over: false,
+            stream: false,
+            attempts: Vec::new(),
+        }
     }
 }
 
