--- a/src/choice.rs
+++ b/src/choice.rs
@@ -15,7 +15,7 @@
 
 const STEPS_PER_LOAD: u64 = 4; // Δt = load time / this: finer costs CPU, coarser loads late.
 const BINS: usize = 32; // Bins of arrivals kept for the forecast (eight load times).
-const MIN_BINS: usize = 8; // Fewer bins than this give a plain mean: a trend through so few would run wild.
+const MIN_BINS: usize = 8; // Fewer bins, or arrivals, give a plain mean: a trend through so few runs wild.
 const HARMONICS: usize = 2; // Harmonics k in the forecast.
 const CLIP_SIGMA: f64 = 1.5; // Clip of the forecast: mean + this many σ.
 const SIGNIFICANT: f64 = 9.0; // A trend or harmonic counts from this many times the mean power left.
@@ -33,10 +33,7 @@
 const MOST_COPIES: u32 = 16; // Most copies that one order may ask for; wmax is this at every worker.
 const WORKER_LOADS: u32 = 3; // Own loads in hand at one worker: workers run a few and turn the rest away.
 const LOAD_GUESS: f64 = 0.08; // Load time where none is told or seen, as a share of the keep-alive.
-const ASKERS: f64 = 8.0; // Front ends in all that ask, at first sight of a function, what its second home holds.
-const HOME_LOAD: f64 = 0.3; // A shared function's part at one home, in a worker's fair part of all: more homes beyond.
-const FEW: f64 = 20.0; // Requests beside which those seen within a keep-alive count as the mix.
-const CROWD: f64 = 0.7; // Requests of others for a shared function at each home, which its homes are spread to meet.
+const CROWD: f64 = 0.7; // Others' requests for a shared function at each home; it takes more homes beyond.
 const REACH_GAIN: f64 = 0.2; // Weight of one crowd mark in that; it at most doubles the homes.
 const CROWDING: f64 = 0.3; // What each request of others for the function adds to the time there, in service times.
 const OTHERS: f64 = 3.0; // Uses by other front ends within a keep-alive that make a copy theirs to keep too.
@@ -70,7 +67,7 @@
 pub fn forecast(bins: &[f64], steps: usize) -> Vec<f64> {
     let n = bins.len();
     let mean = bins.iter().sum::<f64>() / n.max(1) as f64;
-    if n < MIN_BINS || bins.iter().all(|&y| y == bins[0]) {
+    if n < MIN_BINS || mean * (n as f64) < MIN_BINS as f64 || bins.iter().all(|&y| y == bins[0]) {
         // One early arrival is no rate: a short history is filled up with silence.
         return vec![mean * n as f64 / n.max(2 * MIN_BINS) as f64; steps];
     }
@@ -287,17 +284,9 @@
         if let Some(rate) = self.m.tenant_rate.get_mut(r.tenant) {
             rate.add(now, keep * FLOOD_SPAN, 1e6 / (keep * FLOOD_SPAN)); // short, so that a flood shows soon
         }
-        let (f, new) = self.function(&r);
+        let f = self.function(&r);
         self.refresh(f);
         self.m.open.insert(r.id.clone(), Open::new(f, &r, now));
-        let asks = self.rng.f64() * f64::from(self.set.front_ends) < ASKERS;
-        if new && self.set.may_order && asks {
-            // First sight of a function: its second home tells what stands, so a restart relearns at once.
-            if let Some(&worker) = self.m.functions[f].homes.get(1) {
-                out.push(Action::Load { worker, function: r.function.clone(), copies: 0 });
-                self.m.functions[f].copies.entry(worker).or_default().orders.push((now, 0));
-            }
-        }
         self.m.functions[f].held.push(r.id);
         self.dispatch(f, out);
     }
@@ -312,8 +301,8 @@
         uses * f64::from(self.set.front_ends.saturating_sub(1))
     }
 
-    /// The function of a request, its arrival booked; true at its first sight.
-    fn function(&mut self, r: &Request) -> (usize, bool) {
+    /// The function of a request, its arrival booked.
+    fn function(&mut self, r: &Request) -> usize {
         let (now, keep, began) = (self.now, self.keep(), self.began.unwrap_or(self.now));
         let known = self.m.names.get(&r.function).copied();
         let f = known.unwrap_or_else(|| {
@@ -330,7 +319,7 @@
         (fun.memory, fun.lanes, fun.used) = (r.memory_mb, r.lanes.max(1), now);
         fun.count(now, began, BINS as u64);
         fun.uses.add(now, 2.0 * keep, 0.5);
-        (f, known.is_none())
+        f
     }
 
     /// Serves the held requests of a function, worthiest and most urgent first.
@@ -390,7 +379,6 @@
     /// It changes with the list only. The first `spread` of them take what is shared with other front ends.
     fn refresh(&mut self, f: usize) {
         let shared = self.others(f) > OTHERS;
-        let all: f64 = self.m.rate.get(self.now, self.keep()) * self.keep() / 1e6;
         let Memory { workers, functions, list, .. } = &mut self.m;
         let fun = &mut functions[f];
         if fun.listed != *list {
@@ -399,30 +387,24 @@
                 |(&id, w): (&WorkerId, &Worker)| (-unit_hash(&fun.name, id).max(1e-12).ln() / w.size, id);
             let mut order: Vec<(f64, WorkerId)> = ready.map(place).collect();
             order.sort_by(|a, b| a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)));
+            fun.copies.values_mut().for_each(|c| c.home = false);
             (fun.homes, fun.listed) = (order.into_iter().map(|(_, id)| id).collect(), *list);
         }
-        // One or two uses prove no large part: what chance alone explains is left out, and few are no mix.
-        let uses = fun.uses.get(self.now, 2.0 * self.set.keep_alive as f64);
-        let part = (uses - uses.sqrt()).max(0.0) / (all + FEW);
-        let homes = (part * fun.homes.len() as f64 / HOME_LOAD).ceil() as usize;
         let most = fun.homes.len().max(1);
         fun.reach = fun.reach.clamp(1.0, most as f64);
-        fun.spread = if shared { homes.max(fun.reach.round() as usize).clamp(1, most) } else { 0 };
-        for id in &fun.homes[..fun.spread.min(fun.homes.len())] {
-            fun.copies.entry(*id).or_default();
+        fun.spread = if shared { fun.reach.round() as usize } else { 0 };
+        for (n, id) in fun.homes.iter().enumerate().take(fun.spread.max(fun.had)) {
+            fun.copies.entry(*id).or_default().home = n < fun.spread;
         }
+        fun.had = fun.spread;
     }
 
     /// Copies to count on: those believed warm; at a shared function's homes one, unless news says none.
     fn stands(&self, f: usize, worker: WorkerId) -> u32 {
         let (fun, warm) = (&self.m.functions[f], self.warm(f, worker));
         let cold = |c: &Copies| c.known > 0 && c.n == 0 && c.known + COLD_NEWS * fun.load as u64 > self.now;
-        let home = fun.homes.iter().take(fun.spread).any(|&h| h == worker);
-        if warm == 0 && home && !fun.copies.get(&worker).is_some_and(cold) {
-            1
-        } else {
-            warm
-        }
+        let counts = warm == 0 && fun.copies.get(&worker).is_some_and(|c| c.home && !cold(c));
+        if counts { 1 } else { warm }
     }
 
     /// Copies believed warm: proven within the keep-alive and not before trust was withdrawn.
@@ -443,12 +425,15 @@
     /// Rule 4: this front end's share of a cold worker's budget; what warm ones bear stands for its capacity.
     fn cold_room(&self, w: &Worker) -> bool {
         let capacity = self.capacity(w);
+        if capacity >= 1.0 {
+            return true;
+        }
         let sizes: f64 = self.m.ready().map(|w| w.size).sum();
         let bears = self.m.rate.get(self.now, self.keep()) * w.size / sizes.max(w.size);
         let window = self.set.fall_window as f64 / 1e6;
         let budget = bears * capacity * window * self.set.fall_multiple * COLD_SHARE;
         let sent = w.sends.since(self.now.saturating_sub(self.set.fall_window));
-        capacity >= 1.0 || sent < budget.max(1.0).floor()
+        sent < budget.max(1.0).floor()
     }
 
     /// More than half of the fleet taken out: then the evidence is of something else, and all are used.
@@ -886,6 +871,9 @@
     fn plan_function(&mut self, f: usize, out: &mut Vec<Action>) {
         let (now, keep, mean, fun) = (self.now, self.keep(), self.service(f), &self.m.functions[f]);
         let bins: Vec<f64> = fun.bins.iter().take(fun.bins.len() - 1).copied().collect();
+        if fun.held.is_empty() && bins.iter().all(|&y| y == 0.0) {
+            return; // Nothing to plan for: what is idle ages out by itself.
+        }
         let step = fun.step as f64;
         let delay = ((fun.load / step) as usize).clamp(1, MAX_DELAY);
         let steps = delay + BEYOND;
--- a/src/state.rs
+++ b/src/state.rs
@@ -96,6 +96,8 @@
 /// What is believed of a function's copies at a worker.
 #[derive(Debug, Default)]
 pub(crate) struct Copies {
+    /// One of the homes that share the function.
+    pub home: bool,
     /// Copies last known to stand.
     pub n: u32,
     /// Last proof, use or renewal.
@@ -148,6 +150,7 @@
     pub homes: Vec<WorkerId>,
     pub listed: u64,
     pub spread: usize,
+    pub had: usize,
     /// As many as crowd marks ask for.
     pub reach: f64,
 }
