One notion of health for a worker and for each kind of traffic there; retry budget

A full answer where few were in hand blames the tenant or class there, not the worker; further tries, by us or by clients, wait for a budget of a fifth of the first ones.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -9,7 +9,6 @@
 
 use crate::interface::*;
 use crate::state::*;
-use std::collections::BTreeMap;
 
 // ---- Constants. Times derive from settings and observations; these are shares and counts. ----
 
@@ -54,8 +53,10 @@
 const SWEEPS_PER_AIM: u64 = 16; // Sweeps in the shortest aim: how fast silence is seen and plans are made.
 const BACKOFF: u64 = 4; // First back-off of a worker taken out, in sweeps.
 const MOST_BACKOFF: u64 = 16; // The longest, in first ones.
-const FREE_LIMIT: f64 = 64.0; // Limit of own attempts at a worker before it was ever cut; it hardly binds.
-const CUT: f64 = 0.7; // What a full or late answer leaves of the attempts out as the limit.
+const KIND_PAUSE: u64 = 8; // First pause of one kind of traffic at a worker, in parts of the keep-alive.
+const QUEUED: f64 = 4.0; // Requests for the function at a worker from which `full` is told of its queue.
+const RETRY_SHARE: f64 = 0.2; // Retry budget: further tries, by us or by clients, for each first one...
+const MOST_RETRIES: f64 = 10.0; // ...and the most that may be saved up.
 const PRESSED: usize = 1; // Held requests for each worker from which there is too little for all.
 const FLOOD_SPAN: f64 = 0.25; // Span over which a tenant's rate is judged, as a share of the keep-alive.
 const COLD_SHARE: f64 = 0.4; // Share of a cold worker's budget that all front ends together plan to use.
@@ -199,6 +200,8 @@
     logged_at: Time,
     /// Service time, in expected ones, that hardly an answer exceeds.
     tail: f64,
+    /// Further tries that the retry budget allows now.
+    retries: f64,
 }
 
 impl Router {
@@ -221,6 +224,7 @@
             asked_at: 0,
             logged_at: 0,
             tail: OVERDUE,
+            retries: MOST_RETRIES,
         }
     }
 
@@ -258,11 +262,11 @@
             self.m.workers.values_mut().for_each(|w| w.ready = false);
         }
         for e in entries {
-            let w = self.m.workers.entry(e.worker).or_insert_with(|| Worker::new(&e, now, FREE_LIMIT));
+            let w = self.m.workers.entry(e.worker).or_insert_with(|| Worker::new(&e, now));
             // A new start, however it was announced: empty and cold from then on.
             let restarted = w.listed(&e);
             if restarted {
-                (w.cold_at, w.tripped, w.fails, w.limit) = (e.born.max(w.cold_at), false, 0.0, FREE_LIMIT);
+                (w.cold_at, w.whole) = (e.born.max(w.cold_at), Health::default());
             }
             if restarted || e.availability == Availability::Gone {
                 self.m.forget_copies(e.worker, now);
@@ -286,6 +290,9 @@
         }
         let f = self.function(&r);
         self.refresh(f);
+        if !r.retry {
+            self.retries = (self.retries + RETRY_SHARE).min(MOST_RETRIES);
+        }
         self.m.open.insert(r.id.clone(), Open::new(f, &r, now));
         self.m.functions[f].held.push(r.id);
         self.dispatch(f, out);
@@ -404,7 +411,11 @@
         let (fun, warm) = (&self.m.functions[f], self.warm(f, worker));
         let cold = |c: &Copies| c.known > 0 && c.n == 0 && c.known + COLD_NEWS * fun.load as u64 > self.now;
         let counts = warm == 0 && fun.copies.get(&worker).is_some_and(|c| c.home && !cold(c));
-        if counts { 1 } else { warm }
+        if counts {
+            1
+        } else {
+            warm
+        }
     }
 
     /// Copies believed warm: proven within the keep-alive and not before trust was withdrawn.
@@ -438,14 +449,22 @@
 
     /// More than half of the fleet taken out: then the evidence is of something else, and all are used.
     fn all_bad(&self) -> bool {
-        2 * self.m.ready().filter(|w| w.tripped).count() > self.m.ready().count()
+        2 * self.m.ready().filter(|w| w.whole.tripped).count() > self.m.ready().count()
     }
 
-    fn usable(&self, w: &Worker, effect: Effect) -> bool {
-        let trickle = self.now >= w.retry_at && w.out == 0 && effect == Effect::Repeatable;
-        let healthy = !w.tripped || trickle || self.all_bad();
-        let room = f64::from(w.out) < w.limit.max(1.0) && self.now >= w.full_until;
-        w.ready && healthy && room && self.cold_room(w)
+    /// Neither the worker as a whole nor this kind of traffic there is taken out.
+    fn usable(&self, w: &Worker, open: &Open) -> bool {
+        let repeat = self.set.classes[open.class].effect == Effect::Repeatable;
+        let trickle = self.now >= w.whole.retry_at && w.out == 0 && repeat;
+        let healthy = !w.whole.tripped || trickle || self.all_bad();
+        let kind = |k: Kind| w.kinds.get(&k).is_none_or(|h| !h.tripped || self.now >= h.retry_at);
+        let healthy = healthy && open.kinds().into_iter().all(kind);
+        w.ready && healthy && self.now >= w.full_until && self.cold_room(w)
+    }
+
+    /// Another try after one that failed, by us or by the client, waits for the retry budget.
+    fn is_retry(&self, open: &Open) -> bool {
+        open.attempts.last().map_or(open.retry, |a| !a.missed)
     }
 
     /// How busy a worker looks from here: slowness, own attempts and loads in hand by size.
@@ -464,9 +483,12 @@
     fn choose(&self, f: usize, open: &Open, ahead: usize) -> Choice {
         let (fun, class, now) = (&self.m.functions[f], &self.set.classes[open.class], self.now);
         let (mean, aim) = (self.service(f), class.aim.max(1) as f64);
+        if self.is_retry(open) && self.retries < 1.0 {
+            return Choice::Wait;
+        }
         let tried = |id: WorkerId| open.attempts.iter().any(|a| a.worker == id);
         let may = |id: WorkerId| {
-            self.m.workers.get(&id).is_some_and(|w| self.usable(w, class.effect) && self.may_send(open, w))
+            self.m.workers.get(&id).is_some_and(|w| self.usable(w, open) && self.may_send(open, w))
         };
         let mut best: Option<(f64, WorkerId)> = None;
         let mut frees: Vec<f64> = Vec::new();
@@ -489,7 +511,7 @@
             let time = if shared { time * crowd } else { time };
             if shared || taken + 0.5 < f64::from(warm * fun.lanes) {
                 // The one that answers soonest; failures seen weigh most where a failed request is lost.
-                let fails = w.fails * aim * if class.effect == Effect::Once { 1.0 } else { RETRY_PAIN };
+                let fails = w.whole.fails * aim * if class.effect == Effect::Once { 1.0 } else { RETRY_PAIN };
                 let cross = if w.zone == self.set.my_zone { 0.0 } else { self.set.zone_price * aim };
                 let price = time + fails + cross + if tried(id) { aim } else { 0.0 };
                 best = best.filter(|b| b.0 <= price).or(Some((price, id)));
@@ -569,6 +591,7 @@
 
     fn send(&mut self, id: &RequestId, worker: WorkerId, out: &mut Vec<Action>) {
         let f = self.m.open[id].function;
+        self.retries -= f64::from(u8::from(self.is_retry(&self.m.open[id])));
         let warm = self.warm(f, worker) > 0;
         let load = if warm { 0.0 } else { self.m.functions[f].load };
         let slow = self.m.workers.get(&worker).map_or(1.0, |w| w.slow.max(1.0));
@@ -604,12 +627,12 @@
     fn on_answer(&mut self, id: &RequestId, attempt: u32, answer: Answered, out: &mut Vec<Action>) {
         use Outcome::*;
         let (outcome, last, lag, mark, crowd) = answer;
-        let never_ran = matches!(outcome, Full | ConnectFailed | Moot | Miss);
-        let Some(a) = self.m.end_attempt(id, attempt, never_ran) else { return };
+        let Some(a) = self.m.end_attempt(id, attempt, outcome) else { return };
         let (worker, sent) = (a.worker, a.sent);
         let others = crowd.map(|c| f64::from(c.saturating_sub(a.own)));
         let f = self.m.open[id].function;
-        self.learn(f, worker, sent, outcome, (lag, mark, others));
+        let kinds = self.m.open[id].kinds();
+        self.learn(f, kinds, worker, sent, outcome, (lag, mark, others));
         let open = &self.m.open[id];
         let none_out = open.attempts.iter().all(|a| !a.out);
         if last || open.over || open.stream {
@@ -629,16 +652,25 @@
     }
 
     /// What an outcome tells of the worker, of the copies there and of the function.
-    fn learn(&mut self, f: usize, worker: WorkerId, sent: Time, outcome: Outcome, (lag, mark, others): Told) {
+    fn learn(
+        &mut self,
+        f: usize,
+        kinds: [Kind; 2],
+        worker: WorkerId,
+        sent: Time,
+        outcome: Outcome,
+        told: Told,
+    ) {
+        let (lag, mark, others) = told;
+        let kind_pause = self.set.keep_alive / KIND_PAUSE;
         let (now, sweep, mean_slow) = (self.now, self.sweep, self.m.mean_slow());
         let believed = self.warm(f, worker) > 0;
         let pause = sweep * BACKOFF + self.rng.u64(0..=sweep * BACKOFF);
         let fun = &mut self.m.functions[f];
-        let aim = self.set.classes[fun.class].aim;
         let Some((w, c)) = self.m.workers.get_mut(&worker).zip(fun.copies.get_mut(&worker)) else { return };
         use Outcome::*;
         if !matches!(outcome, Timeout | Cancelled | Moot | ConnectFailed) {
-            w.heard = now;
+            w.whole.heard = now;
         }
         let mut surprised = false;
         if let Some(n) = others.filter(|_| fun.spread > 0) {
@@ -646,7 +678,8 @@
         }
         match outcome {
             Ok => {
-                w.pass();
+                w.whole.pass();
+                kinds.iter().for_each(|k| w.kinds.entry(*k).or_default().clear(now));
                 surprised = mark == CopyMark::BeganLoad && believed && c.out == 0;
                 c.n = if mark == CopyMark::BeganLoad && believed { c.n + 1 } else { c.n.max(1) };
                 (c.used, c.known) = (now, now);
@@ -667,11 +700,6 @@
                     let up = if time < fun.quick { FAST_GAIN } else { SLOW_GAIN };
                     blend(&mut fun.quick, time, up);
                     blend(&mut self.m.class_mean[fun.class], time, GAIN);
-                    if lag > aim {
-                        w.cut(now, sweep);
-                    } else {
-                        w.limit = (w.limit + 1.0 / w.limit.max(1.0)).min(FREE_LIMIT);
-                    }
                 }
             }
             Miss => {
@@ -680,13 +708,17 @@
             }
             Full => {
                 w.full_until = now + sweep;
-                w.cut(now, sweep);
+                if others.is_some_and(|n| n < QUEUED) {
+                    // Not its queue: it turns this kind of traffic away, and may have room for others.
+                    kinds.iter().for_each(|k| w.kinds.entry(*k).or_default().fail(2.0, now, kind_pause));
+                    w.full_until = now;
+                }
             }
             Error if mark == CopyMark::LoadFailed => c.n = 0,
-            Error => w.fail(1.0, now, pause),
-            Timeout if (now - sent) as f64 > fun.load => w.fail(1.0, now, pause),
+            Error => w.whole.fail(1.0, now, pause),
+            Timeout if (now - sent) as f64 > fun.load => w.whole.fail(1.0, now, pause),
             ConnectFailed | Reset => {
-                w.fail(2.0, now, pause);
+                w.whole.fail(2.0, now, pause);
                 self.m.forget_copies(worker, now);
             }
             Timeout | Cancelled | Moot => {}
@@ -711,7 +743,7 @@
         let fun = &self.m.functions[f];
         let fit = |w: &Worker| {
             let room = self.now >= w.no_load_until && w.loads < WORKER_LOADS;
-            room && (!w.tripped || self.all_bad()) && self.capacity(w) > LOAD_CAPACITY
+            room && (!w.whole.tripped || self.all_bad()) && self.capacity(w) > LOAD_CAPACITY
         };
         let near = if fun.spread > 0 { fun.spread + 1 } else { fun.homes.len() };
         let homes: Vec<_> =
@@ -776,16 +808,16 @@
         (c.n, c.known) = (n, now);
         match outcome {
             Outcome::Ok if want > 0 => {
-                (c.used, w.heard) = (now, now);
+                (c.used, w.whole.heard) = (now, now);
                 if lag > fun.step + 2 * self.set.round {
                     blend(&mut fun.load, lag as f64, FAST_GAIN);
                 }
             }
             // Only asked: they stand, but nobody knows how long they have lain idle.
             Outcome::Ok if n > 0 => c.used = c.used.max(now.saturating_sub(keep / 2)).max(self.trust_from),
-            Outcome::Ok => w.heard = now,
+            Outcome::Ok => w.whole.heard = now,
             Outcome::Full | Outcome::Error => w.no_load_until = now + fun.load as Span,
-            _ => w.fail(2.0, now, self.sweep * BACKOFF), // a worker taken out gets no loads
+            _ => w.whole.fail(2.0, now, self.sweep * BACKOFF), // a worker taken out gets no loads
         }
         self.dispatch(f, out);
     }
@@ -824,25 +856,30 @@
         }
     }
 
-    /// A worker that answers nothing: two attempts overdue, or one long overdue, and no word since they went.
+    /// What answers nothing: an attempt overdue counts once, against its kinds of traffic at the worker, and
+    /// against the whole worker where that has given no word at all since.
     fn find_silent(&mut self, out: &mut Vec<Action>) {
-        let now = self.now;
-        let mut late: BTreeMap<WorkerId, u32> = BTreeMap::new();
-        let overdue = |a: &&Attempt| a.out && now > a.sent + a.expected;
-        for a in self.m.open.values().flat_map(|o| &o.attempts).filter(overdue) {
-            if self.m.workers.get(&a.worker).is_some_and(|w| w.heard <= a.sent) {
-                *late.entry(a.worker).or_default() += if now > a.sent + 2 * a.expected { 2 } else { 1 };
-            }
-        }
-        let pause = self.sweep * BACKOFF + self.rng.u64(0..=self.sweep * BACKOFF);
-        late.retain(|id, n| {
-            *n >= 2 && self.m.workers.get(id).is_some_and(|w| !w.tripped || now >= w.retry_at)
-        });
-        for worker in late.into_keys() {
-            self.m.workers.entry(worker).and_modify(|w| w.fail(2.0, now, pause));
-            if self.logged_at == 0 || now > self.logged_at + self.set.keep_alive / 4 {
-                self.logged_at = now;
-                out.push(Action::Log { text: format!("worker {worker} answers nothing: taken out") });
+        let (now, pause) = (self.now, self.sweep * BACKOFF + self.rng.u64(0..=self.sweep * BACKOFF));
+        for o in self.m.open.values_mut() {
+            let kinds = o.kinds();
+            let overdue = |a: &&mut Attempt| a.out && !a.overdue && now > a.sent + a.expected;
+            for a in o.attempts.iter_mut().filter(overdue) {
+                a.overdue = true;
+                let Some(w) = self.m.workers.get_mut(&a.worker) else { continue };
+                for k in kinds {
+                    let h = w.kinds.entry(k).or_default();
+                    if h.heard <= a.sent {
+                        h.fail(2.0, now, self.set.keep_alive / KIND_PAUSE);
+                    }
+                }
+                let before = w.whole.tripped;
+                if w.whole.heard <= a.sent {
+                    w.whole.fail(1.0, now, pause);
+                }
+                if !before && w.whole.tripped && now > self.logged_at + self.set.keep_alive / 4 {
+                    self.logged_at = now;
+                    out.push(Action::Log { text: format!("worker {} answers nothing: taken out", a.worker) });
+                }
             }
         }
         // Repeatable requests out at a worker taken out go elsewhere: at once, or after they are called off.
@@ -851,9 +888,12 @@
             let spent = o.attempts.len() >= self.set.max_attempts as usize;
             let repeat = self.set.classes[o.class].effect == Effect::Repeatable && !spent;
             let Some(n) = o.attempts.len().checked_sub(1).filter(|_| repeat) else { continue };
+            let kinds = o.kinds();
             let a = &mut o.attempts[n];
             let w = &self.m.workers[&a.worker];
-            if !a.out || a.called_off || !w.tripped || w.heard > a.sent || now < a.sent + a.expected / 2 {
+            let silent = |h: &Health| h.tripped && h.heard <= a.sent;
+            let gone = silent(&w.whole) || kinds.iter().any(|k| w.kinds.get(k).is_some_and(silent));
+            if !a.out || a.called_off || !gone || now < a.sent + a.expected / 2 {
                 continue;
             }
             if self.set.may_duplicate {
@@ -889,7 +929,7 @@
             if n == 0 && c.out > 0 {
                 change[delay] += 1.0; // a send on a stale belief finds a copy, or loads one
             }
-            if n > 0 && self.m.workers.get(&id).is_some_and(|w| w.ready && !w.tripped) {
+            if n > 0 && self.m.workers.get(&id).is_some_and(|w| w.ready && !w.whole.tripped) {
                 warm += f64::from(n);
                 foreign += c.foreign.min(f64::from(n * fun.lanes));
                 newest = newest.max(Some((c.used, id)));
@@ -944,9 +984,9 @@
     }
 }
 
-// ---- Health: one running share of failures and one adaptive limit for each worker. ----
+// ---- Health: one running share of failures for a worker as a whole and for each kind of traffic there. ----
 
-impl Worker {
+impl Health {
     fn pass(&mut self) {
         self.fails *= 1.0 - FAIL_GAIN;
         if self.tripped && self.fails < CLOSE {
@@ -954,6 +994,11 @@
         }
     }
 
+    /// One success lets a kind of traffic back; a rule that lets a little pass soon shows again.
+    fn clear(&mut self, now: Time) {
+        *self = Health { heard: now, backoff: self.backoff / 2, ..Health::default() };
+    }
+
     /// A failure of weight 1, or 2 where it cannot be reached or is silent; each makes the pause longer.
     fn fail(&mut self, weight: f64, now: Time, pause: Span) {
         self.fails += FAIL_GAIN * weight * (1.0 - self.fails);
@@ -963,12 +1008,4 @@
             self.retry_at = now + self.backoff;
         }
     }
-
-    /// What it could not take in time is taken from its limit, once in a while at most.
-    fn cut(&mut self, now: Time, pause: Span) {
-        if now >= self.cut_at + pause {
-            self.limit = (f64::from(self.out + 1) * CUT).min(self.limit).max(1.0);
-            self.cut_at = now;
-        }
-    }
 }
--- a/src/state.rs
+++ b/src/state.rs
@@ -38,6 +38,26 @@
     }
 }
 
+/// A kind of traffic at a worker.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Kind {
+    Tenant(usize),
+    Class(usize),
+}
+
+/// What is known of the health of a worker, or of a kind of traffic there.
+#[derive(Debug, Default)]
+pub(crate) struct Health {
+    /// Running share of failures.
+    pub fails: f64,
+    /// Taken out; tried again from `retry_at` on.
+    pub tripped: bool,
+    pub retry_at: Time,
+    pub backoff: Span,
+    /// Last sign of life.
+    pub heard: Time,
+}
+
 /// A worker, as listed and as seen.
 #[derive(Debug, Default)]
 pub(crate) struct Worker {
@@ -54,26 +74,19 @@
     pub loads: u32,
     /// Observed service time over what its functions take elsewhere.
     pub slow: f64,
-    /// Running share of failures.
-    pub fails: f64,
-    /// Taken out; from `retry_at` on a trickle goes in.
-    pub tripped: bool,
-    pub retry_at: Time,
-    pub backoff: Span,
-    /// Last sign of life.
-    pub heard: Time,
+    /// As a whole, and by kind of traffic.
+    pub whole: Health,
+    pub kinds: BTreeMap<Kind, Health>,
     pub full_until: Time,
     pub no_load_until: Time,
-    /// Most own attempts out, and when it was last cut.
-    pub limit: f64,
-    pub cut_at: Time,
     /// Own sends, for the cold budget.
     pub sends: Recent,
 }
 
 impl Worker {
-    pub(crate) fn new(e: &WorkerEntry, heard: Time, limit: f64) -> Self {
-        Worker { born: e.born, cold_at: e.born, slow: 1.0, heard, limit, ..Worker::default() }
+    pub(crate) fn new(e: &WorkerEntry, heard: Time) -> Self {
+        let whole = Health { heard, ..Health::default() };
+        Worker { born: e.born, cold_at: e.born, slow: 1.0, whole, ..Worker::default() }
     }
     /// Takes in what the list says; true when the process has started anew.
     pub(crate) fn listed(&mut self, e: &WorkerEntry) -> bool {
@@ -188,6 +201,10 @@
     pub expected: Span,
     pub out: bool,
     pub never_ran: bool,
+    /// It found no copy.
+    pub missed: bool,
+    /// Its silence is booked.
+    pub overdue: bool,
     pub called_off: bool,
 }
 
@@ -202,6 +219,8 @@
     pub since: Time,
     pub over: bool,
     pub stream: bool,
+    /// A client's repeat.
+    pub retry: bool,
     pub attempts: Vec<Attempt>,
 }
 
@@ -217,9 +236,13 @@
             since,
             over: false,
             stream: false,
+            retry: r.retry,
             attempts: Vec::new(),
         }
     }
+    pub(crate) fn kinds(&self) -> [Kind; 2] {
+        [Kind::Tenant(self.tenant), Kind::Class(self.class)]
+    }
 }
 
 /// What a front end remembers.
@@ -294,14 +317,18 @@
             expected,
             out: true,
             never_ran: false,
+            missed: false,
+            overdue: false,
             called_off: false,
         });
     }
     /// Books the end of an attempt; `None` for one unknown or ended before.
-    pub(crate) fn end_attempt(&mut self, id: &RequestId, attempt: u32, never_ran: bool) -> Option<&Attempt> {
+    pub(crate) fn end_attempt(&mut self, id: &RequestId, attempt: u32, outcome: Outcome) -> Option<&Attempt> {
         let open = self.open.get_mut(id)?;
         let a = open.attempts.get_mut(attempt as usize).filter(|a| a.out)?;
-        (a.out, a.never_ran) = (false, never_ran);
+        use Outcome::*;
+        (a.out, a.missed) = (false, outcome == Miss);
+        a.never_ran = matches!(outcome, Full | ConnectFailed | Moot | Miss);
         if let Some(w) = self.workers.get_mut(&a.worker) {
             w.out = w.out.saturating_sub(1);
         }
