--- a/src/choice.rs
+++ b/src/choice.rs
@@ -36,7 +36,6 @@
 const REACH_GAIN: f64 = 0.2; // Weight of one crowd mark in that; it at most doubles the homes.
 const CROWDING: f64 = 0.3; // What each request of others for the function adds to the time there, in service times.
 const OTHERS: f64 = 3.0; // Uses by other front ends within a keep-alive that make a copy theirs to keep too.
-const CLEARLY: f64 = 1.5; // How much busier the first home must look before the second is taken.
 const BUSY_LANES: f64 = 4.0; // Own requests that load a worker of size 1 about once over.
 const RETRY_PAIN: f64 = 0.3; // Share of the aim that a failure costs where the request can be repeated.
 const HOPE: f64 = 2.0; // Longest hold on hopes, in load times; then a load, or any queue, is better.
@@ -178,12 +177,6 @@
     Wait,
 }
 
-/// What an answer says: time since it was sent, the copy's mark, others' requests for the function there.
-type Told = (Span, CopyMark, Option<f64>);
-
-/// An answer as it came: also whether the request is over, and the crowd mark.
-type Answered = (Outcome, bool, Span, CopyMark, Option<u32>);
-
 /// The decisions of one front end.
 #[derive(Debug)]
 pub struct Router {
@@ -194,14 +187,6 @@
     began: Option<Time>,
     /// Pace of the regular sweep: a small part of the shortest aim.
     sweep: Span,
-    /// Beliefs older than this are not trusted.
-    trust_from: Time,
-    asked_at: Time,
-    logged_at: Time,
-    /// Service time, in expected ones, that hardly an answer exceeds.
-    tail: f64,
-    /// Further tries that the retry budget allows now.
-    retries: f64,
 }
 
 impl Router {
@@ -212,20 +197,8 @@
         let mut m = Memory::default();
         m.tenant_rate.resize(settings.tenants.len(), Decay::default());
         m.class_mean.resize(settings.classes.len(), 0.0);
-        let (rng, began) = (fastrand::Rng::with_seed(seed), None);
-        Router {
-            set: settings,
-            rng,
-            m,
-            now: 0,
-            began,
-            sweep,
-            trust_from: 0,
-            asked_at: 0,
-            logged_at: 0,
-            tail: OVERDUE,
-            retries: MOST_RETRIES,
-        }
+        (m.tail, m.retries) = (OVERDUE, MOST_RETRIES);
+        Router { set: settings, rng: fastrand::Rng::with_seed(seed), m, now: 0, began: None, sweep }
     }
 
     /// Takes in an event and adds what is to be done.
@@ -243,7 +216,7 @@
                 self.m.open.entry(id).and_modify(|open| open.stream = true);
             }
             Event::Answer { id, attempt, outcome, last, lag, mark, crowd, .. } => {
-                self.on_answer(&id, attempt, (outcome, last, lag, mark, crowd), out)
+                self.on_answer(&id, attempt, Told { outcome, last, lag, mark, crowd }, out)
             }
             Event::ClientGone { id } => self.end(&id, out),
             Event::Alarm { name } if &*name == "sweep" => self.on_sweep(out),
@@ -291,7 +264,7 @@
         let f = self.function(&r);
         self.refresh(f);
         if !r.retry {
-            self.retries = (self.retries + RETRY_SHARE).min(MOST_RETRIES);
+            self.m.retries = (self.m.retries + RETRY_SHARE).min(MOST_RETRIES);
         }
         self.m.open.insert(r.id.clone(), Open::new(f, &r, now));
         self.m.functions[f].held.push(r.id);
@@ -421,7 +394,7 @@
     /// Copies believed warm: proven within the keep-alive and not before trust was withdrawn.
     fn warm(&self, f: usize, worker: WorkerId) -> u32 {
         match self.m.functions[f].copies.get(&worker) {
-            Some(c) if c.used + self.set.keep_alive > self.now && c.used >= self.trust_from => c.n,
+            Some(c) if c.used + self.set.keep_alive > self.now && c.used >= self.m.trust_from => c.n,
             _ => 0,
         }
     }
@@ -483,7 +456,7 @@
     fn choose(&self, f: usize, open: &Open, ahead: usize) -> Choice {
         let (fun, class, now) = (&self.m.functions[f], &self.set.classes[open.class], self.now);
         let (mean, aim) = (self.service(f), class.aim.max(1) as f64);
-        if self.is_retry(open) && self.retries < 1.0 {
+        if self.is_retry(open) && self.m.retries < 1.0 {
             return Choice::Wait;
         }
         let tried = |id: WorkerId| open.attempts.iter().any(|a| a.worker == id);
@@ -591,11 +564,11 @@
 
     fn send(&mut self, id: &RequestId, worker: WorkerId, out: &mut Vec<Action>) {
         let f = self.m.open[id].function;
-        self.retries -= f64::from(u8::from(self.is_retry(&self.m.open[id])));
+        self.m.retries -= f64::from(u8::from(self.is_retry(&self.m.open[id])));
         let warm = self.warm(f, worker) > 0;
         let load = if warm { 0.0 } else { self.m.functions[f].load };
         let slow = self.m.workers.get(&worker).map_or(1.0, |w| w.slow.max(1.0));
-        let expected = (self.service(f) * slow * self.tail + load) as Span;
+        let expected = (self.service(f) * slow * self.m.tail + load) as Span;
         self.m.begin_attempt(id, worker, self.now, expected);
         self.m.functions[f]
             .copies
@@ -624,15 +597,13 @@
 
     // ---- Answers. ----
 
-    fn on_answer(&mut self, id: &RequestId, attempt: u32, answer: Answered, out: &mut Vec<Action>) {
-        use Outcome::*;
-        let (outcome, last, lag, mark, crowd) = answer;
+    fn on_answer(&mut self, id: &RequestId, attempt: u32, told: Told, out: &mut Vec<Action>) {
+        let outcome = told.outcome;
         let Some(a) = self.m.end_attempt(id, attempt, outcome) else { return };
-        let (worker, sent) = (a.worker, a.sent);
-        let others = crowd.map(|c| f64::from(c.saturating_sub(a.own)));
-        let f = self.m.open[id].function;
-        let kinds = self.m.open[id].kinds();
-        self.learn(f, kinds, worker, sent, outcome, (lag, mark, others));
+        let (worker, own, waited) = (a.worker, a.own, self.now - a.sent);
+        let (f, kinds) = (self.m.open[id].function, self.m.open[id].kinds());
+        let last = told.last;
+        self.learn(f, kinds, worker, told, (own, waited));
         let open = &self.m.open[id];
         let none_out = open.attempts.iter().all(|a| !a.out);
         if last || open.over || open.stream {
@@ -644,7 +615,7 @@
             // The design: one more copy where it was missed, unless one is on its way.
             let coming = self.m.functions[f].copies.values().any(|c| c.coming() > 0);
             let fit = self.m.workers.get(&worker).is_some_and(|w| w.ready && self.now >= w.no_load_until);
-            if outcome == Miss && self.set.may_order && !coming && fit && self.order_room(1.0) {
+            if outcome == Outcome::Miss && self.set.may_order && !coming && fit && self.order_room(1.0) {
                 self.order(f, worker, out);
             }
         }
@@ -657,11 +628,11 @@
         f: usize,
         kinds: [Kind; 2],
         worker: WorkerId,
-        sent: Time,
-        outcome: Outcome,
         told: Told,
+        (own, waited): (u32, Span),
     ) {
-        let (lag, mark, others) = told;
+        let Told { outcome, lag, mark, crowd, .. } = told;
+        let others = crowd.map(|c| f64::from(c.saturating_sub(own)));
         let kind_pause = self.set.keep_alive / KIND_PAUSE;
         let (now, sweep, mean_slow) = (self.now, self.sweep, self.m.mean_slow());
         let believed = self.warm(f, worker) > 0;
@@ -678,8 +649,8 @@
         }
         match outcome {
             Ok => {
-                w.whole.pass();
-                kinds.iter().for_each(|k| w.kinds.entry(*k).or_default().clear(now));
+                w.whole.pass(now);
+                kinds.iter().for_each(|k| w.kinds.entry(*k).or_default().pass(now));
                 surprised = mark == CopyMark::BeganLoad && believed && c.out == 0;
                 c.n = if mark == CopyMark::BeganLoad && believed { c.n + 1 } else { c.n.max(1) };
                 (c.used, c.known) = (now, now);
@@ -691,9 +662,9 @@
                 } else if mark != CopyMark::WaitedForLoad {
                     let rel = w.slow / mean_slow;
                     // A running quantile: up by much for the few that exceed it, down by little for the others.
-                    let over = time > fun.mean.max(1.0) * self.tail * rel.max(1.0);
+                    let over = time > fun.mean.max(1.0) * self.m.tail * rel.max(1.0);
                     let share = if over { 1.0 - OVERDUE_SHARE } else { -OVERDUE_SHARE };
-                    self.tail = (self.tail * (1.0 + FAST_GAIN * share)).max(OVERDUE / 2.0);
+                    self.m.tail = (self.m.tail * (1.0 + FAST_GAIN * share)).max(OVERDUE / 2.0);
                     let base = if fun.mean > 0.0 { fun.mean } else { time / rel };
                     w.slow += GAIN * ((time / base).clamp(0.2, 8.0) * mean_slow.min(1.5) - w.slow);
                     blend(&mut fun.mean, time / rel, GAIN);
@@ -716,7 +687,7 @@
             }
             Error if mark == CopyMark::LoadFailed => c.n = 0,
             Error => w.whole.fail(1.0, now, pause),
-            Timeout if (now - sent) as f64 > fun.load => w.whole.fail(1.0, now, pause),
+            Timeout if waited as f64 > fun.load => w.whole.fail(1.0, now, pause),
             ConnectFailed | Reset => {
                 w.whole.fail(2.0, now, pause);
                 self.m.forget_copies(worker, now);
@@ -730,7 +701,7 @@
             seen.push_back((now, worker));
             seen.retain(|s| s.0 >= from);
             if seen.len() >= SURPRISES && seen.iter().any(|s| s.1 != worker) {
-                self.trust_from = from;
+                self.m.trust_from = from;
                 seen.clear();
             }
         }
@@ -738,7 +709,7 @@
 
     // ---- Loads: where, how many, what came of them. ----
 
-    /// The worker for a new copy: the less busy of the first two homes that hold none, or hold least.
+    /// The worker for a new copy: the first home that holds none, or holds least.
     fn place(&self, f: usize) -> Option<WorkerId> {
         let fun = &self.m.functions[f];
         let fit = |w: &Worker| {
@@ -746,15 +717,9 @@
             room && (!w.whole.tripped || self.all_bad()) && self.capacity(w) > LOAD_CAPACITY
         };
         let near = if fun.spread > 0 { fun.spread + 1 } else { fun.homes.len() };
-        let homes: Vec<_> =
-            fun.homes.iter().take(near).copied().filter(|id| fit(&self.m.workers[id])).collect();
+        let homes = fun.homes.iter().take(near).copied().filter(|id| fit(&self.m.workers[id]));
         let count = |id: &WorkerId| self.warm(f, *id).max(fun.copies.get(id).map_or(0, Copies::coming));
-        let least = homes.iter().map(count).min()?;
-        let mut free = homes.into_iter().filter(|id| count(id) == least);
-        let (first, second) = (free.next()?, free.next());
-        // The first unless clearly busier, so that front ends with differing views still meet.
-        let busy = |id: &WorkerId| self.busy(&self.m.workers[id]);
-        second.filter(|s| busy(s) * CLEARLY < busy(&first)).or(Some(first))
+        homes.min_by_key(count)
     }
 
     /// Rule 5: whether one more order fits the sliding window, within this share of it.
@@ -814,7 +779,7 @@
                 }
             }
             // Only asked: they stand, but nobody knows how long they have lain idle.
-            Outcome::Ok if n > 0 => c.used = c.used.max(now.saturating_sub(keep / 2)).max(self.trust_from),
+            Outcome::Ok if n > 0 => c.used = c.used.max(now.saturating_sub(keep / 2)).max(self.m.trust_from),
             Outcome::Ok => w.whole.heard = now,
             Outcome::Full | Outcome::Error => w.no_load_until = now + fun.load as Span,
             _ => w.whole.fail(2.0, now, self.sweep * BACKOFF), // a worker taken out gets no loads
@@ -828,27 +793,19 @@
         let now = self.now;
         out.push(Action::SetAlarm { after: self.sweep, name: "sweep".into() });
         let from = now.saturating_sub(self.set.load_window);
-        self.m.forget(
-            from,
-            now.saturating_sub(self.set.fall_window),
-            now.saturating_sub(self.set.warm_after),
-        );
+        let (sends, starts) = (self.set.fall_window, self.set.warm_after);
+        self.m.forget(from, now.saturating_sub(sends), now.saturating_sub(starts));
         if self.set.discovery == Discovery::Ask
-            && (self.asked_at == 0 || self.asked_at + self.set.ask_within / 4 < now)
+            && (self.m.asked_at == 0 || self.m.asked_at + self.set.ask_within / 4 < now)
         {
-            self.asked_at = now;
+            self.m.asked_at = now;
             out.push(Action::Subscribe { on: true });
         }
         self.find_silent(out);
-        // What is held, worthiest function first: they compete for the same workers.
-        let best = |f: &Function| f.held.iter().map(|id| self.worth(&self.m.open[id])).fold(0.0, f64::max);
-        let held = self.m.functions.iter().enumerate().filter(|(_, f)| !f.held.is_empty());
-        let mut held: Vec<(f64, usize)> = held.map(|(n, f)| (best(f), n)).collect();
-        held.sort_by(|a, b| b.0.total_cmp(&a.0).then(a.1.cmp(&b.1)));
-        for (_, f) in held {
-            self.dispatch(f, out);
-        }
         for f in 0..self.m.functions.len() {
+            if !self.m.functions[f].held.is_empty() {
+                self.dispatch(f, out);
+            }
             let new = self.m.functions[f].roll(now, self.began.unwrap_or(now), BINS as u64);
             if new && self.set.may_order {
                 self.plan_function(f, out);
@@ -876,8 +833,8 @@
                 if w.whole.heard <= a.sent {
                     w.whole.fail(1.0, now, pause);
                 }
-                if !before && w.whole.tripped && now > self.logged_at + self.set.keep_alive / 4 {
-                    self.logged_at = now;
+                if !before && w.whole.tripped && now > self.m.logged_at + self.set.keep_alive / 4 {
+                    self.m.logged_at = now;
                     out.push(Action::Log { text: format!("worker {} answers nothing: taken out", a.worker) });
                 }
             }
@@ -987,18 +944,13 @@
 // ---- Health: one running share of failures for a worker as a whole and for each kind of traffic there. ----
 
 impl Health {
-    fn pass(&mut self) {
-        self.fails *= 1.0 - FAIL_GAIN;
+    fn pass(&mut self, now: Time) {
+        (self.heard, self.fails) = (now, self.fails * (1.0 - FAIL_GAIN));
         if self.tripped && self.fails < CLOSE {
             (self.tripped, self.backoff) = (false, 0);
         }
     }
 
-    /// One success lets a kind of traffic back; a rule that lets a little pass soon shows again.
-    fn clear(&mut self, now: Time) {
-        *self = Health { heard: now, backoff: self.backoff / 2, ..Health::default() };
-    }
-
     /// A failure of weight 1, or 2 where it cannot be reached or is silent; each makes the pause longer.
     fn fail(&mut self, weight: f64, now: Time, pause: Span) {
         self.fails += FAIL_GAIN * weight * (1.0 - self.fails);
--- a/src/state.rs
+++ b/src/state.rs
@@ -208,6 +208,15 @@
     pub called_off: bool,
 }
 
+/// What an answer says.
+pub(crate) struct Told {
+    pub outcome: Outcome,
+    pub last: bool,
+    pub lag: Span,
+    pub mark: CopyMark,
+    pub crowd: Option<u32>,
+}
+
 /// A request that is not forgotten yet.
 #[derive(Debug)]
 pub(crate) struct Open {
@@ -257,6 +266,14 @@
     pub rate: Decay,
     pub tenant_rate: Vec<Decay>,
     pub class_mean: Vec<f64>,
+    /// Beliefs older than this are not trusted.
+    pub trust_from: Time,
+    pub asked_at: Time,
+    pub logged_at: Time,
+    /// Service time, in expected ones, that hardly an answer exceeds.
+    pub tail: f64,
+    /// Further tries that the retry budget allows now.
+    pub retries: f64,
     /// Number of the list, counted up at each change.
     pub list: u64,
     /// Beliefs proven false lately.
