--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,11 +1,7 @@
-//! Every decision of badgerwind. The types it speaks in are in `src/interface.rs`, its plain records, without
-//! any decision, in `src/state.rs`.
-//!
-//!
-//! Each front end runs one [`Router`]: it forecasts each function's arrivals, plans loads and drops by a
-//! short horizon cost search, holds requests for warm lanes that free soon, and keeps the five rules. After
-//! "Taming Cold Starts: Proactive Serverless Scheduling with Model Predictive Control"; docs/design.md tells
-//! what was kept and changed. Sections follow a request.
+//! Every decision of badgerwind. Its types are in `src/interface.rs`, its plain records in `src/state.rs`. Each
+//! front end runs one [`Router`]: it forecasts each function's arrivals, plans loads and drops by a short horizon
+//! cost search, holds requests for warm lanes that free soon, and keeps the five rules. After "Taming Cold Starts:
+//! Proactive Serverless Scheduling with Model Predictive Control"; docs/design.md tells what was kept and changed.
 
 use crate::interface::*;
 use crate::state::*;
@@ -56,7 +52,6 @@
 const QUEUED: f64 = 4.0; // Requests for the function at a worker from which `full` is told of its queue.
 const RETRY_SHARE: f64 = 0.2; // Retry budget: further tries, by us or by clients, for each first one...
 const MOST_RETRIES: f64 = 10.0; // ...and the most that may be saved up.
-const PRESSED: usize = 1; // Held requests for each worker from which there is too little for all.
 const FLOOD_SPAN: f64 = 0.25; // Span over which a tenant's rate is judged, as a share of the keep-alive.
 const COLD_SHARE: f64 = 0.4; // Share of a cold worker's budget that all front ends together plan to use.
 const LOAD_CAPACITY: f64 = 0.5; // Share of its capacity from which a warming worker is given loads.
@@ -161,12 +156,7 @@
     if x.iter().any(|&n| n > 0) {
         return (x.first().copied().unwrap_or(0), 0);
     }
-    let mut drops = 0;
-    while f64::from(drops) < h.warm && cost(h, &x, drops + 1) < best - 1e-9 {
-        drops += 1;
-        best = cost(h, &x, drops);
-    }
-    (0, drops)
+    (0, u32::from(h.warm >= 1.0 && cost(h, &x, 1) < best - 1e-9))
 }
 
 // ---- The router, and the list of workers. ----
@@ -275,12 +265,6 @@
         self.set.keep_alive.max(self.sweep) as f64
     }
 
-    /// Uses of a function by other front ends within a keep-alive, were they like this one's.
-    fn others(&self, f: usize) -> f64 {
-        let uses = self.m.functions[f].uses.get(self.now, 2.0 * self.keep());
-        uses * f64::from(self.set.front_ends.saturating_sub(1))
-    }
-
     /// The function of a request, its arrival booked.
     fn function(&mut self, r: &Request) -> usize {
         let (now, keep, began) = (self.now, self.keep(), self.began.unwrap_or(self.now));
@@ -310,8 +294,8 @@
             let (x, y) = (&self.m.open[a], &self.m.open[b]);
             self.worth(y).total_cmp(&self.worth(x)).then(x.due.cmp(&y.due)).then(a.cmp(b))
         });
-        let all_held: usize = self.m.functions.iter().map(|f| f.held.len()).sum();
-        let pressed = all_held + held.len() > PRESSED * self.m.workers.len();
+        // Too little for all shows in further tries: it scales with this front end's traffic.
+        let pressed = self.m.retries < 1.0;
         let mut waiting = Vec::new();
         for id in held {
             let open = &self.m.open[&id];
@@ -321,7 +305,7 @@
             match choice {
                 Some(Choice::Send(w)) => self.send(&id, w, out),
                 Some(Choice::Load(w)) => {
-                    self.order(f, w, out);
+                    self.order(f, w, 1, out);
                     waiting.push(id);
                 }
                 Some(Choice::Wait) if !yields => waiting.push(id),
@@ -358,7 +342,8 @@
     /// Workers in the function's own order (rendezvous hash, by size): front ends that share nothing agree.
     /// It changes with the list only. The first `spread` of them take what is shared with other front ends.
     fn refresh(&mut self, f: usize) {
-        let shared = self.others(f) > OTHERS;
+        let uses = self.m.functions[f].uses.get(self.now, 2.0 * self.keep());
+        let shared = uses * f64::from(self.set.front_ends.saturating_sub(1)) > OTHERS;
         let Memory { workers, functions, list, .. } = &mut self.m;
         let fun = &mut functions[f];
         if fun.listed != *list {
@@ -506,11 +491,9 @@
         if wait <= fun.load && waited <= HOPE {
             return Choice::Wait;
         }
-        // No warm lane soon. The pick: the worker last found warm, else a first home; unless known cold.
+        // No warm lane soon. The pick: the first home that may take it, unless known cold.
         let homes = &fun.homes;
-        let stale = fun.copies.iter().filter(|(id, c)| c.n > 0 && c.out == 0 && may(**id) && !tried(**id));
-        let last = stale.max_by_key(|(_, c)| c.used).map(|(&id, _)| id);
-        let pick = last.or_else(|| homes.iter().take(2).find(|id| may(**id) && !tried(**id)).copied());
+        let pick = homes.iter().find(|id| may(**id) && !tried(**id)).copied();
         let fresh = now.saturating_sub(COLD_NEWS * fun.load as u64);
         let known = |c: &Copies| c.n == 0 && c.known > fresh || c.out > 0;
         let spare = self.set.max_attempts as usize > open.attempts.len() + 1 || !self.set.may_order;
@@ -570,10 +553,8 @@
         let slow = self.m.workers.get(&worker).map_or(1.0, |w| w.slow.max(1.0));
         let expected = (self.service(f) * slow * self.m.tail + load) as Span;
         self.m.begin_attempt(id, worker, self.now, expected);
-        self.m.functions[f]
-            .copies
-            .entry(worker)
-            .and_modify(|c| c.used = if warm { self.now } else { c.used });
+        let copies = self.m.functions[f].copies.entry(worker);
+        copies.and_modify(|c| c.used = if warm { self.now } else { c.used });
         out.push(Action::Send { id: id.clone(), worker, timeout: None });
     }
 
@@ -581,11 +562,9 @@
     fn finish(&mut self, id: &RequestId, out: &mut Vec<Action>) {
         let Some(open) = self.m.open.get(id).filter(|o| !o.over && !o.stream) else { return };
         let (refuse, own) = (self.may_refuse(open), id.clone());
-        out.push(if refuse {
-            Action::Refuse { id: own, retry_after: None }
-        } else {
-            Action::Fail { id: own }
-        });
+        let answer =
+            if refuse { Action::Refuse { id: own, retry_after: None } } else { Action::Fail { id: own } };
+        out.push(answer);
         self.end(id, out);
     }
 
@@ -616,7 +595,7 @@
             let coming = self.m.functions[f].copies.values().any(|c| c.coming() > 0);
             let fit = self.m.workers.get(&worker).is_some_and(|w| w.ready && self.now >= w.no_load_until);
             if outcome == Outcome::Miss && self.set.may_order && !coming && fit && self.order_room(1.0) {
-                self.order(f, worker, out);
+                self.order(f, worker, 1, out);
             }
         }
         self.dispatch(f, out);
@@ -730,26 +709,10 @@
         self.set.load_window == 0 || self.m.orders.since(from) + 1.0 <= most
     }
 
-    /// Orders one copy more than last said stood.
-    fn order(&mut self, f: usize, worker: WorkerId, out: &mut Vec<Action>) {
+    /// Orders so many copies more than last said stood; none renews those. The worker itself makes room.
+    fn order(&mut self, f: usize, worker: WorkerId, more: u32, out: &mut Vec<Action>) {
         let coming = self.m.functions[f].copies.get(&worker).map_or(0, Copies::coming);
-        let copies = self.warm(f, worker).max(coming) + 1;
-        // Just before a load on a worker short of memory by our tally, the copy idle longest goes.
-        let kind = self.m.workers.get(&worker).map_or(0, |w| w.kind);
-        let memory = self.set.memory_mb.get(kind).copied().unwrap_or(f64::INFINITY);
-        let all = || (0..self.m.functions.len()).filter(|&g| self.warm(g, worker) > 0);
-        let held: f64 = all().map(|g| f64::from(self.warm(g, worker)) * self.m.functions[g].memory).sum();
-        let idle = all().filter(|&g| g != f).map(|g| (&self.m.functions[g].copies[&worker], g));
-        let idle = idle.filter(|(c, _)| c.out == 0 && c.used + self.set.keep_alive / 2 < self.now);
-        let oldest = idle.min_by_key(|(c, _)| c.used).map(|(_, g)| g);
-        if let Some(g) = oldest.filter(|_| held + self.m.functions[f].memory > memory) {
-            self.drop_copies(g, worker, out);
-        }
-        self.order_copies(f, worker, copies, out);
-    }
-
-    fn order_copies(&mut self, f: usize, worker: WorkerId, copies: u32, out: &mut Vec<Action>) {
-        let copies = copies.min(MOST_COPIES);
+        let copies = (self.warm(f, worker).max(coming * more.min(1)) + more).min(MOST_COPIES);
         self.m.orders.push(self.now);
         self.m.workers.entry(worker).and_modify(|w| w.loads += 1);
         let fun = &mut self.m.functions[f];
@@ -757,11 +720,6 @@
         out.push(Action::Load { worker, function: fun.name.clone(), copies });
     }
 
-    fn drop_copies(&mut self, f: usize, worker: WorkerId, out: &mut Vec<Action>) {
-        self.m.functions[f].copies.entry(worker).and_modify(|c| (c.n, c.known) = (0, self.now));
-        out.push(Action::Drop { worker, function: self.m.functions[f].name.clone() });
-    }
-
     fn on_loaded(&mut self, worker: WorkerId, name: &str, told: (Outcome, u32, Span), out: &mut Vec<Action>) {
         let (outcome, n, lag) = told;
         let Some(&f) = self.m.names.get(name) else { return };
@@ -829,10 +787,11 @@
                         h.fail(2.0, now, self.set.keep_alive / KIND_PAUSE);
                     }
                 }
-                let before = w.whole.tripped;
-                if w.whole.heard <= a.sent {
-                    w.whole.fail(1.0, now, pause);
+                if w.whole.heard > a.sent {
+                    continue;
                 }
+                let before = w.whole.tripped;
+                w.whole.fail(1.0, now, pause);
                 if !before && w.whole.tripped && now > self.m.logged_at + self.set.keep_alive / 4 {
                     self.m.logged_at = now;
                     out.push(Action::Log { text: format!("worker {} answers nothing: taken out", a.worker) });
@@ -868,8 +827,8 @@
     fn plan_function(&mut self, f: usize, out: &mut Vec<Action>) {
         let (now, keep, mean, fun) = (self.now, self.keep(), self.service(f), &self.m.functions[f]);
         let bins: Vec<f64> = fun.bins.iter().take(fun.bins.len() - 1).copied().collect();
-        if fun.held.is_empty() && bins.iter().all(|&y| y == 0.0) {
-            return; // Nothing to plan for: what is idle ages out by itself.
+        if fun.spread > 0 && fun.held.is_empty() && bins.iter().all(|&y| y == 0.0) {
+            return; // Nothing to plan for, and others use what stands.
         }
         let step = fun.step as f64;
         let delay = ((fun.load / step) as usize).clamp(1, MAX_DELAY);
@@ -897,15 +856,14 @@
         }
         // Renewal: the last copies of a function still in use are held again before they can age out.
         // What other front ends use as well stays by their use, and is not this one's to drop.
-        let shared = self.others(f) > OTHERS;
+        let (alone, last) = (fun.spread == 0, fun.used as f64);
         let in_use =
-            fun.uses.get(now, 2.0 * keep) > RENEW_USES && fun.used as f64 + RENEW_GAP * keep > now as f64;
-        let in_use = in_use && !shared;
+            alone && fun.uses.get(now, 2.0 * keep) > RENEW_USES && last + RENEW_GAP * keep > now as f64;
         if let Some((used, id)) = newest.filter(|_| in_use && self.order_room(AHEAD_SHARE)) {
             if now + 2 * fun.step + self.sweep > used + self.set.keep_alive {
-                let n = self.warm(f, id);
+                self.order(f, id, 0, out);
                 self.m.functions[f].copies.entry(id).and_modify(|c| c.used = now);
-                return self.order_copies(f, id, n, out);
+                return;
             }
         }
         let aim = self.set.classes[fun.class].aim.max(1) as f64;
@@ -929,14 +887,14 @@
         self.m.functions[f].last_loads = f64::from(loads);
         for _ in 0..loads {
             if let Some(id) = self.place(f).filter(|_| self.order_room(AHEAD_SHARE)) {
-                self.order(f, id, out);
+                self.order(f, id, 1, out);
             }
         }
         // Drops act on long-idle copies only, and where memory is priced.
         let long = |i: &(Time, WorkerId)| i.0 + self.set.keep_alive / 2 < now && Some(*i) != newest;
-        if let Some((_, id)) = idlest.filter(|i| drops > 0 && self.set.idle_price > 0.0 && long(i) && !shared)
-        {
-            self.drop_copies(f, id, out);
+        if let Some((_, id)) = idlest.filter(|i| drops > 0 && self.set.idle_price > 0.0 && long(i) && alone) {
+            self.m.functions[f].copies.entry(id).and_modify(|c| (c.n, c.known) = (0, now));
+            out.push(Action::Drop { worker: id, function: self.m.functions[f].name.clone() });
         }
     }
 }
