--- a/src/choice.rs
+++ b/src/choice.rs
@@ -893,7 +893,7 @@
         self.tripped &= self.fails >= CLOSE;
     }
 
-    /// A failure of weight 1, or 2 where unreachable or silent; each makes the pause longer. True if it trips.
+    /// A failure of weight 1, or 2 where unreachable or silent (longer pauses each time); true if it trips.
     fn fail(&mut self, weight: f64, now: Time, pause: Span) -> bool {
         let before = self.tripped;
         self.fails += FAIL_GAIN * weight * (1.0 - self.fails);
