--- a/tests/module.rs
+++ b/tests/module.rs
@@ -265,7 +265,7 @@
 }
 
 #[test]
-fn a_worker_that_turns_away_gets_less() {
+fn a_worker_that_turns_away_is_left_alone_for_a_while() {
     let (mut b, w) = warmed(Effect::Repeatable);
     for id in ["1", "2"] {
         b.ask(id, "f", 3000 * MS);
@@ -273,7 +273,7 @@
     b.now += 5 * MS;
     b.answer("1", 0, Outcome::Full, CopyMark::Untold);
     b.ask("3", "f", 3000 * MS);
-    assert!(!b.sends("3").contains(&w), "one attempt is out, and its limit was cut to that");
+    assert!(!b.sends("3").contains(&w), "it has just turned one away");
 }
 
 #[test]
