--- a/src/choice.rs
+++ b/src/choice.rs
@@ -291,8 +291,9 @@
             let (x, y) = (&self.m.open[a], &self.m.open[b]);
             self.worth(y).total_cmp(&self.worth(x)).then(x.due.cmp(&y.due)).then(a.cmp(b))
         });
-        // Too little for all shows in further tries: it scales with this front end's traffic.
-        let pressed = self.m.retries < 1.0;
+        // Too little for all shows in further tries, or in more held than there are workers.
+        let all_held: usize = self.m.functions.iter().map(|f| f.held.len()).sum();
+        let pressed = self.m.retries < 1.0 || all_held + held.len() > self.m.workers.len();
         let mut waiting = Vec::new();
         for id in held {
             let open = &self.m.open[&id];
@@ -384,20 +385,17 @@
     }
 
     /// Rule 4: this front end's share of a cold worker's budget; what warm ones bear stands for its capacity.
-    fn cold_room(&self, w: &Worker) -> bool {
+    fn cold_room(&self, w: &Worker, open: &Open) -> bool {
         let capacity = self.capacity(w);
-        if capacity >= 1.0 {
-            return true;
-        }
         let sizes: f64 = self.m.ready().map(|w| w.size).sum();
         let bears = self.m.rate.get(self.now, self.keep()) * w.size / sizes.max(w.size);
         let window = self.set.fall_window as f64 / 1e6;
         let budget = bears * capacity * window * self.set.fall_multiple * COLD_SHARE;
         let sent = w.sends.since(self.now.saturating_sub(self.set.fall_window));
-        // Less than one for each front end: a seeded draw, anew in each window, says which of them may.
-        let draw = format!("{} {}", self.set.my_number, self.now / self.set.fall_window.max(1));
-        sent < budget.floor()
-            + f64::from(u8::from(unit_hash(&draw, w.born.unwrap_or(0) as u32) < budget.fract()))
+        // Less than one for each front end: one at most, and a draw thins the usual traffic to the budget.
+        let drawn =
+            unit_hash(&open.id, w.born.unwrap_or(0) as u32) < capacity * self.set.fall_multiple * COLD_SHARE;
+        sent < budget.floor() || sent < 1.0 && drawn
     }
 
     /// More than half of the fleet taken out: then the evidence is of something else, and all are used.
@@ -415,7 +413,7 @@
             && healthy
             && open.kinds().into_iter().all(kind)
             && self.now >= w.full_until
-            && self.cold_room(w)
+            && (self.capacity(w) >= 1.0 || self.cold_room(w, open))
     }
 
     /// Another try after one that failed, by us or by the client, waits for the retry budget.
@@ -687,7 +685,7 @@
     fn place(&self, f: usize) -> Option<WorkerId> {
         let fun = &self.m.functions[f];
         let fit = |w: &Worker| {
-            let room = self.now >= w.no_load_until && w.loads < WORKER_LOADS;
+            let room = w.ready && self.now >= w.no_load_until && w.loads < WORKER_LOADS;
             room && (!w.whole.tripped || self.all_bad()) && self.capacity(w) > LOAD_CAPACITY
         };
         let near = if fun.spread > 0 { fun.spread + 1 } else { fun.homes.len() };
