--- a/src/choice.rs
+++ b/src/choice.rs
@@ -30,6 +30,7 @@
 const CROWD: f64 = 0.7; // Others' requests for a shared function at each home; it takes more homes beyond.
 const REACH_GAIN: f64 = 0.2; // Weight of one crowd mark in that; it at most doubles the homes.
 const CROWDING: f64 = 0.3; // What each such request adds to the time there, in service times.
+const MANY: u32 = 8; // Front ends from which each sees too small a part of a function to go by its own tally.
 const OTHERS: f64 = 3.0; // Uses by other front ends within a keep-alive that make a copy theirs to keep too.
 const BUSY_LANES: f64 = 4.0; // Own requests that load a worker of size 1 about once over.
 const RETRY_PAIN: f64 = 0.3; // Share of the aim that a failure costs where the request can be repeated.
@@ -341,7 +342,7 @@
     /// It changes with the list only. The first `spread` of them take what is shared with other front ends.
     fn refresh(&mut self, f: usize) {
         let uses = self.m.functions[f].uses.get(self.now, 2.0 * self.keep());
-        let shared = uses * f64::from(self.set.front_ends.saturating_sub(1)) > OTHERS;
+        let shared = self.set.front_ends > MANY && uses * f64::from(self.set.front_ends - 1) > OTHERS;
         let Memory { workers, functions, list, .. } = &mut self.m;
         let fun = &mut functions[f];
         if fun.listed != *list {
