Adaptive limit of own attempts is back

It had been folded away: with few front ends it is what keeps an overload at the front end, where it is ordered by worth.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -47,6 +47,8 @@
 const SWEEPS_PER_AIM: u64 = 16; // Sweeps in the shortest aim: how fast silence is seen and plans are made.
 const BACKOFF: u64 = 4; // First back-off of a worker taken out, in sweeps.
 const MOST_BACKOFF: u64 = 16; // The longest, in first ones.
+const FREE_LIMIT: f64 = 64.0; // Limit of own attempts at a worker before it was ever cut; it hardly binds.
+const CUT: f64 = 0.7; // What a full or late answer leaves of the attempts out as the limit.
 const KIND_PAUSE: u64 = 8; // First pause of one kind of traffic at a worker, in parts of the keep-alive.
 const QUEUED: f64 = 4.0; // Requests for the function at a worker from which `full` is told of its queue.
 const RETRY_SHARE: f64 = 0.2; // Retry budget: further tries, by us or by clients, for each first one...
@@ -201,9 +203,7 @@
         match event {
             Event::List { kind, entries } => self.on_list(kind, entries),
             Event::Request(request) => self.on_request(request, out),
-            Event::StreamBegan { id, .. } => {
-                self.m.open.entry(id).and_modify(|open| open.stream = true);
-            }
+            Event::StreamBegan { id, .. } => _ = self.m.open.entry(id).and_modify(|o| o.stream = true),
             Event::Answer { id, attempt, outcome, last, lag, mark, crowd, .. } => {
                 self.on_answer(&id, attempt, Told { outcome, last, lag, mark, crowd }, out)
             }
@@ -224,11 +224,11 @@
             self.m.workers.values_mut().for_each(|w| w.ready = false);
         }
         for e in entries {
-            let w = self.m.workers.entry(e.worker).or_insert_with(|| Worker::new(&e, now));
+            let w = self.m.workers.entry(e.worker).or_insert_with(|| Worker::new(&e, now, FREE_LIMIT));
             // A new start, however it was announced: empty and cold from then on.
             let restarted = w.listed(&e);
             if restarted {
-                (w.cold_at, w.whole) = (e.born.max(w.cold_at), Health::default());
+                (w.cold_at, w.whole, w.limit) = (e.born.max(w.cold_at), Health::default(), FREE_LIMIT);
             }
             if restarted || e.availability == Availability::Gone {
                 self.m.forget_copies(e.worker, now);
@@ -410,11 +410,9 @@
         let trickle = self.now >= w.whole.retry_at && w.out == 0 && repeat;
         let healthy = !w.whole.tripped || trickle || self.all_bad();
         let kind = |k: Kind| w.kinds.get(&k).is_none_or(|h| !h.tripped || self.now >= h.retry_at);
-        w.ready
-            && healthy
-            && open.kinds().into_iter().all(kind)
-            && self.now >= w.full_until
-            && (self.capacity(w) >= 1.0 || self.cold_room(w, open))
+        let room = f64::from(w.out) < w.limit && self.now >= w.full_until;
+        let warm = self.capacity(w) >= 1.0 || self.cold_room(w, open);
+        w.ready && healthy && room && warm && open.kinds().into_iter().all(kind)
     }
 
     /// Another try after one that failed, by us or by the client, waits for the retry budget.
@@ -462,8 +460,8 @@
             let time = mean * self.busy(w);
             // Shared homes: others come and go unseen, so crowding is a price, and chance spreads the calls.
             let shared = fun.spread > 0 && c.out < warm * fun.lanes;
-            let crowd = 1.0 + CROWDING * c.foreign + unit_hash(&open.id, id);
-            let time = if shared { time * crowd } else { time };
+            let chance = unit_hash(&open.id, id);
+            let time = if shared { time * (1.0 + CROWDING * c.foreign + chance) } else { time };
             if shared || taken + 0.5 < f64::from(warm * fun.lanes) {
                 // The one that answers soonest; failures seen weigh most where a failed request is lost.
                 let fails = w.whole.fails * aim * if class.effect == Effect::Once { 1.0 } else { RETRY_PAIN };
@@ -534,10 +532,8 @@
 
     fn may_refuse(&self, open: &Open) -> bool {
         let class = &self.set.classes[open.class];
-        let harmless = match class.effect {
-            Effect::ByKey => class.group == Group::All,
-            effect => effect == Effect::Repeatable,
-        };
+        let all = class.effect == Effect::ByKey && class.group == Group::All;
+        let harmless = all || class.effect == Effect::Repeatable;
         harmless || open.attempts.iter().all(|a| a.never_ran)
     }
 
@@ -612,20 +608,28 @@
         let believed = self.warm(f, worker) > 0;
         let pause = sweep * BACKOFF + self.rng.u64(0..=sweep * BACKOFF);
         let fun = &mut self.m.functions[f];
+        let aim = self.set.classes[fun.class].aim;
         let Some((w, c)) = self.m.workers.get_mut(&worker).zip(fun.copies.get_mut(&worker)) else { return };
         use Outcome::*;
         if !matches!(outcome, Timeout | Cancelled | Moot | ConnectFailed) {
             w.whole.heard = now;
         }
-        let mut surprised = false;
+        let surprised = believed && (outcome == Miss || mark == CopyMark::BeganLoad && c.out == 0);
         if let Some(n) = others.filter(|_| fun.spread > 0) {
             fun.reach *= 1.0 + (REACH_GAIN * (n / CROWD - 1.0)).min(1.0);
         }
+        // The limit follows what it takes in time: cut once in a while at most, and grown again.
+        let late = outcome == Full
+            || outcome == Ok && matches!(mark, CopyMark::Warm | CopyMark::Untold) && lag > aim;
+        if late && now >= w.cut_at + sweep {
+            (w.limit, w.cut_at) = ((f64::from(w.out + 1) * CUT).min(w.limit).max(1.0), now);
+        } else if outcome == Ok && !late {
+            w.limit = (w.limit + 1.0 / w.limit).min(FREE_LIMIT);
+        }
         match outcome {
             Ok => {
                 w.whole.pass(now);
                 kinds.iter().for_each(|k| w.kinds.entry(*k).or_default().pass(now));
-                surprised = mark == CopyMark::BeganLoad && believed && c.out == 0;
                 c.n = if mark == CopyMark::BeganLoad && believed { c.n + 1 } else { c.n.max(1) };
                 (c.used, c.known) = (now, now);
                 c.foreign += FAST_GAIN * (others.unwrap_or(0.0) - c.foreign);
@@ -646,10 +650,7 @@
                     blend(&mut self.m.class_mean[fun.class], time, GAIN);
                 }
             }
-            Miss => {
-                surprised = believed;
-                (c.n, c.known, c.foreign) = (0, now, 0.0);
-            }
+            Miss => (c.n, c.known, c.foreign) = (0, now, 0.0),
             Full => {
                 w.full_until = now + sweep;
                 if others.is_some_and(|n| n < QUEUED) {
@@ -741,9 +742,8 @@
     fn on_sweep(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
         out.push(Action::SetAlarm { after: self.sweep, name: "sweep".into() });
-        let from = now.saturating_sub(self.set.load_window);
-        let (sends, starts) = (self.set.fall_window, self.set.warm_after);
-        self.m.forget(from, now.saturating_sub(sends), now.saturating_sub(starts));
+        let ago = |span| now.saturating_sub(span);
+        self.m.forget(ago(self.set.load_window), ago(self.set.fall_window), ago(self.set.warm_after));
         let due = self.m.asked_at == 0 || self.m.asked_at + self.set.ask_within / 4 < now;
         if self.set.discovery == Discovery::Ask && due {
             self.m.asked_at = now;
@@ -828,9 +828,7 @@
                 let left = (at as f64 + fun.load - now as f64).max(0.0) / step;
                 change[(left as usize).min(steps - 1)] += f64::from(want - n);
             }
-            if n == 0 && c.out > 0 {
-                change[delay] += 1.0; // a send on a stale belief finds a copy, or loads one
-            }
+            change[delay] += f64::from(u8::from(n == 0 && c.out > 0)); // sent on a stale belief: it may load
             if n > 0 && self.m.workers.get(&id).is_some_and(|w| w.ready && !w.whole.tripped) {
                 warm += f64::from(n);
                 foreign += c.foreign.min(f64::from(n * fun.lanes));
--- a/src/state.rs
+++ b/src/state.rs
@@ -79,14 +79,17 @@
     pub kinds: BTreeMap<Kind, Health>,
     pub full_until: Time,
     pub no_load_until: Time,
+    /// Most own attempts out, and when it was last cut.
+    pub limit: f64,
+    pub cut_at: Time,
     /// Own sends, for the cold budget.
     pub sends: Recent,
 }
 
 impl Worker {
-    pub(crate) fn new(e: &WorkerEntry, heard: Time) -> Self {
+    pub(crate) fn new(e: &WorkerEntry, heard: Time, limit: f64) -> Self {
         let whole = Health { heard, ..Health::default() };
-        Worker { born: e.born, cold_at: e.born, slow: 1.0, whole, ..Worker::default() }
+        Worker { born: e.born, cold_at: e.born, slow: 1.0, whole, limit, ..Worker::default() }
     }
     /// Takes in what the list says; true when the process has started anew.
     pub(crate) fn listed(&mut self, e: &WorkerEntry) -> bool {
