The limit of own attempts acts only where absence is told

Where absent functions load in place, a cut limit sends calls to workers without a copy and makes loads.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -619,8 +619,9 @@
             fun.reach *= 1.0 + (REACH_GAIN * (n / CROWD - 1.0)).min(1.0);
         }
         // The limit follows what it takes in time: cut once in a while at most, and grown again.
-        let late = outcome == Full
-            || outcome == Ok && matches!(mark, CopyMark::Warm | CopyMark::Untold) && lag > aim;
+        // Where absent functions load in place, to go elsewhere means one more load: no limit there.
+        let misses = self.set.when_absent == WhenAbsent::Miss;
+        let late = misses && (outcome == Full || outcome == Ok && lag > aim);
         if late && now >= w.cut_at + sweep {
             (w.limit, w.cut_at) = ((f64::from(w.out + 1) * CUT).min(w.limit).max(1.0), now);
         } else if outcome == Ok && !late {
