--- a/src/choice.rs
+++ b/src/choice.rs
@@ -50,7 +50,7 @@
 const FREE_LIMIT: f64 = 64.0; // Limit of own attempts at a worker before it was ever cut; it hardly binds.
 const CUT: f64 = 0.7; // What a full or late answer leaves of the attempts out as the limit.
 const KIND_PAUSE: u64 = 8; // First pause of one kind of traffic at a worker, in parts of the keep-alive.
-const QUEUED: f64 = 4.0; // Requests for the function at a worker from which `full` is told of its queue.
+const QUEUED: u32 = 4; // Requests for the function at a worker from which `full` is told of its queue.
 const RETRY_SHARE: f64 = 0.2; // Retry budget: further tries, by us or by clients, for each first one...
 const MOST_RETRIES: f64 = 10.0; // ...and the most that may be saved up.
 const FLOOD_SPAN: f64 = 0.25; // Span over which a tenant's rate is judged, as a share of the keep-alive.
@@ -417,7 +417,7 @@
 
     /// Another try after one that failed, by us or by the client, waits for the retry budget.
     fn is_retry(&self, open: &Open) -> bool {
-        open.attempts.last().map_or(open.retry, |a| !a.missed)
+        open.attempts.last().map_or(open.retry, |a| !a.free)
     }
 
     /// How busy a worker looks from here: slowness, own attempts and loads in hand by size.
@@ -570,7 +570,9 @@
 
     fn on_answer(&mut self, id: &RequestId, attempt: u32, told: Told, out: &mut Vec<Action>) {
         let outcome = told.outcome;
-        let Some(a) = self.m.end_attempt(id, attempt, outcome) else { return };
+        let few = self.set.marks_crowd && told.crowd.is_some_and(|n| n < QUEUED);
+        let free = outcome == Outcome::Miss || outcome == Outcome::Full && few;
+        let Some(a) = self.m.end_attempt(id, attempt, outcome, free) else { return };
         let (worker, own, waited) = (a.worker, a.own, self.now - a.sent);
         let (f, kinds) = (self.m.open[id].function, self.m.open[id].kinds());
         self.learn(f, kinds, worker, told, (own, waited));
@@ -602,7 +604,7 @@
         (own, waited): (u32, Span),
     ) {
         let Told { outcome, lag, mark, crowd, .. } = told;
-        let others = crowd.map(|c| f64::from(c.saturating_sub(own)));
+        let others = crowd.filter(|_| self.set.marks_crowd).map(|c| f64::from(c.saturating_sub(own)));
         let kind_pause = self.set.keep_alive / KIND_PAUSE;
         let (now, sweep, mean_slow) = (self.now, self.sweep, self.m.mean_slow());
         let believed = self.warm(f, worker) > 0;
@@ -654,7 +656,7 @@
             Miss => (c.n, c.known, c.foreign) = (0, now, 0.0),
             Full => {
                 w.full_until = now + sweep;
-                if others.is_some_and(|n| n < QUEUED) {
+                if self.set.marks_crowd && crowd.is_some_and(|n| n < QUEUED) {
                     // Not its queue: it turns this kind of traffic away, and may have room for others.
                     kinds.iter().for_each(|k| _ = w.kinds.entry(*k).or_default().fail(2.0, now, kind_pause));
                     w.full_until = now;
--- a/src/state.rs
+++ b/src/state.rs
@@ -204,8 +204,8 @@
     pub expected: Span,
     pub out: bool,
     pub never_ran: bool,
-    /// It found no copy.
-    pub missed: bool,
+    /// Its end says nothing of too much work: the next one costs no retry.
+    pub free: bool,
     /// Its silence is booked.
     pub overdue: bool,
     pub called_off: bool,
@@ -338,17 +338,23 @@
             expected,
             out: true,
             never_ran: false,
-            missed: false,
+            free: false,
             overdue: false,
             called_off: false,
         });
     }
     /// Books the end of an attempt; `None` for one unknown or ended before.
-    pub(crate) fn end_attempt(&mut self, id: &RequestId, attempt: u32, outcome: Outcome) -> Option<&Attempt> {
+    pub(crate) fn end_attempt(
+        &mut self,
+        id: &RequestId,
+        attempt: u32,
+        outcome: Outcome,
+        free: bool,
+    ) -> Option<&Attempt> {
         let open = self.open.get_mut(id)?;
         let a = open.attempts.get_mut(attempt as usize).filter(|a| a.out)?;
         use Outcome::*;
-        (a.out, a.missed) = (false, outcome == Miss);
+        (a.out, a.free) = (false, free);
         a.never_ran = matches!(outcome, Full | ConnectFailed | Moot | Miss);
         if let Some(w) = self.workers.get_mut(&a.worker) {
             w.out = w.out.saturating_sub(1);
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -283,7 +283,8 @@
                     _ => CopyMark::Untold,
                 },
                 crowd: match outcome {
-                    Outcome::Ok | Outcome::Full => told.map(|n| (n / 8) as u32),
+                    // None held, and nothing to say of the copy, comes as null.
+                    Outcome::Ok | Outcome::Full => Some((told.unwrap_or(0) / 8) as u32),
                     _ => None,
                 },
                 report: e.row("metrics")?,
--- a/tests/wire.rs
+++ b/tests/wire.rs
@@ -98,3 +98,30 @@
     };
     assert_eq!(run(), run());
 }
+
+/// With no copy mark, a crowd of none comes as null: it was taken for "not told", and a worker that turned one
+/// tenant away without a queue for a worker with a full one.
+#[test]
+fn a_null_mark_is_a_crowd_of_none() {
+    for (info, sent_again) in [(json!(null), false), (json!(8 * 9), true)] {
+        let mut host = Host::default();
+        let mut start = begin();
+        start["info"]["specifics"]["tellsCrowd"] = json!(true);
+        let mut later = [request("a"), request("b")];
+        later.iter_mut().for_each(|r| r["due"] = json!(63_000_000));
+        later[1]["app"] = json!("fn:b");
+        let [a, b] = later;
+        batch(&mut host, 60_000_000, 1, vec![start, list(), a]);
+        let answer = json!({"op": "Answer", "endId": 3, "tid": "a", "status": "full", "final": false, "lag": 9000,
+                            "executor": 4294967295u32, "info": info, "leg": 0, "metrics": null});
+        batch(&mut host, 60_010_000, 2, vec![answer]);
+        let reply = batch(&mut host, 60_300_000, 3, vec![b]);
+        let sends = reply["do"]
+            .as_array()
+            .unwrap()
+            .iter()
+            .filter(|a| a["op"] == "Forward" && a["tid"] == "b")
+            .count();
+        assert_eq!(sends == 1, sent_again, "{info}");
+    }
+}
