--- a/src/choice.rs
+++ b/src/choice.rs
@@ -572,7 +572,7 @@
 
     fn on_answer(&mut self, id: &RequestId, attempt: u32, told: Told, out: &mut Vec<Action>) {
         let outcome = told.outcome;
-        let few = self.set.marks_crowd && told.crowd.is_some_and(|n| n < QUEUED);
+        let few = self.set.marks_crowd && told.lag > self.sweep && told.crowd.is_some_and(|n| n < QUEUED);
         let free = outcome == Outcome::Miss || outcome == Outcome::Full && few;
         let Some(a) = self.m.end_attempt(id, attempt, outcome, free) else { return };
         let (worker, own, waited) = (a.worker, a.own, self.now - a.sent);
@@ -656,8 +656,8 @@
             Miss => (c.n, c.known, c.foreign) = (0, now, 0.0),
             Full => {
                 w.full_until = now + sweep;
-                if self.set.marks_crowd && crowd.is_some_and(|n| n < QUEUED) {
-                    // Not its queue: it turns this kind of traffic away, and may have room for others.
+                if self.set.marks_crowd && lag > sweep && crowd.is_some_and(|n| n < QUEUED) {
+                    // Not its queue, which answers at once: it turns this kind of traffic away, not others.
                     kinds.iter().for_each(|k| _ = w.kinds.entry(*k).or_default().fail(2.0, now, kind_pause));
                     w.full_until = now;
                 }
