Budgets for failed signatures: forgeries cost a bounded part, and shut no known sender out

Need: anyone can post forgeries in a sender's name; each cost a body and a check, and nothing bounded them. Change: package badgerwind-guard (no I/O): budgets by source and, for strangers alone, by sender; paid before a check, given back by a good signature. Headers are judged before a body is read; large bodies are checked on threads of their own; senders' clock skew is measured; a part of the routes keeps the machine's own elements of <webhook>.

--- a/crates/badgerwind-cli/src/day/world.rs
+++ b/crates/badgerwind-cli/src/day/world.rs
@@ -70,6 +70,9 @@
     pub control: Option<SocketAddr>,
     /// Front ends hand events over at most this often, in microseconds.
     pub round_us: u64,
+    /// Attributes of the budgets for failed signatures, behind a balancer on loopback; `None`: as they are by
+    /// themselves, without one.
+    pub guard: Option<String>,
 }
 
 /// Figures that hold for every world.
@@ -138,6 +141,7 @@
             reckless: false,
             control: None,
             round_us: 2_000,
+            guard: None,
         }
     }
 
@@ -199,6 +203,9 @@
                 ));
             }
         }
+        if let Some(guard) = &self.guard {
+            line(format!("    <guard {guard}><balancer address=\"127.0.0.1\"/></guard>"));
+        }
         line("  </webhook>".into());
         line(format!("  <runners key-file=\"{}\" connections=\"512\"/>", keys.join("runners.key").display()));
         line(format!("  <list address=\"{list}\" cache=\"{}\" retry=\"100ms\"/>", cache.display()));
--- /dev/null
+++ b/crates/badgerwind-cli/tests/floods.rs
@@ -0,0 +1,160 @@
+//! Floods of forged webhooks on loopback sockets: who pays for them, and who does not.
+
+mod rig;
+
+use badgerwind_http::{Exchange, Pool, PoolBounds, ResponseHead};
+use badgerwind_webhook::{sign, Key, KeyKind, ID, SIGNATURE, TIMESTAMP};
+use rig::*;
+use std::net::SocketAddr;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+fn now() -> i64 {
+    SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_secs() as i64
+}
+
+/// Posts a message as a balancer would pass it on from an address.
+async fn post(to: SocketAddr, key: &Key, from: &str, id: &str, (at, body): (i64, Vec<u8>)) -> (u16, String) {
+    let (head, body) = exchange(to, key, from, id, (at, body)).await;
+    let reason = serde_json::from_slice::<serde_json::Value>(&body).unwrap_or_default();
+    (head.status, reason["title"].as_str().unwrap_or("").to_owned())
+}
+
+async fn exchange(
+    to: SocketAddr,
+    key: &Key,
+    from: &str,
+    id: &str,
+    (at, body): (i64, Vec<u8>),
+) -> (ResponseHead, Vec<u8>) {
+    let signed = sign(std::slice::from_ref(key), id, at, &body);
+    let headers = vec![
+        (ID, signed.id),
+        (TIMESTAMP, signed.timestamp.to_string()),
+        (SIGNATURE, signed.signature),
+        ("x-forwarded-for", from.to_owned()),
+    ];
+    let time = Duration::from_secs(20);
+    let pool =
+        Pool::new(to, PoolBounds { most: 1, connect_time: time, idle_time: time, body_bytes: 1 << 20 });
+    let request = Exchange { method: "POST", target: LODGE.into(), headers, body: body.into() };
+    pool.exchange(&request).await.unwrap()
+}
+
+fn small() -> (i64, Vec<u8>) {
+    (now(), br#"{"work_us": 1000, "mean_us": 1000}"#.to_vec())
+}
+
+async fn guarded(guard: &str) -> Rig {
+    let element =
+        format!("<guard {guard}><balancer address=\"127.0.0.1\"/></guard>\n    <route path=\"/check\"");
+    Rig::start(Plan { edits: vec![("<route path=\"/check\"", element)], ..Plan::default() }).await
+}
+
+#[test]
+fn a_source_that_forges_is_turned_away_unread_and_others_are_served() {
+    smol::block_on(async {
+        let rig = guarded(r#"source-burst="3" source-rate="0""#).await;
+        let forger = Key::generate(KeyKind::Shared).unwrap();
+        for n in 0..3 {
+            let got = post(rig.to, &forger, "198.51.100.1", &format!("f{n}"), small()).await;
+            assert_eq!(got, (401, "bad signature".into()));
+        }
+        let (head, body) = exchange(rig.to, &forger, "198.51.100.1", "f3", small()).await;
+        let body = String::from_utf8(body).unwrap();
+        assert_eq!(head.status, 429);
+        assert!(body.contains("failed-signatures") && body.contains("harmless"), "{body}");
+        assert!(
+            head.headers.get("retry-after").is_some() && body.len() < 512,
+            "short, and says when: {body}"
+        );
+        // Not even a good message is looked at from there; its id is not used up by that.
+        assert_eq!(post(rig.to, &rig.key, "198.51.100.1", "m1", small()).await.0, 429);
+        assert_eq!(post(rig.to, &rig.key, "198.51.100.2", "m1", small()).await.0, 200);
+        // What stands before the balancer's own word is the forger's to write, and buys it nothing.
+        let claims = "203.0.113.7, 198.51.100.1";
+        assert_eq!(post(rig.to, &forger, claims, "f4", small()).await.0, 429);
+        assert_eq!((rig.arrived(), rig.finished()), (1, 1));
+        let (_, text) = rig.get("/metrics").await;
+        for line in [
+            "badgerwind_turned_away_total{reason=\"failed-signatures\"} 3\n",
+            "badgerwind_failed_signatures_total{sender=\"portal\"} 3\n",
+            "badgerwind_guard_sources 1\n",
+            "badgerwind_guard_known 1\n",
+        ] {
+            assert!(text.contains(line), "{line} in {text}");
+        }
+    });
+}
+
+#[test]
+fn a_flood_from_everywhere_shuts_no_known_sender_out() {
+    smol::block_on(async {
+        let rig = guarded(r#"source-burst="3" sender-burst="10" sender-rate="0""#).await;
+        assert_eq!(post(rig.to, &rig.key, "198.51.100.1", "m0", small()).await.0, 200);
+        let forger = Key::generate(KeyKind::Shared).unwrap();
+        let mut counts = std::collections::BTreeMap::new();
+        for n in 0..40 {
+            let got = post(rig.to, &forger, &format!("203.0.113.{n}"), "m1", small()).await;
+            *counts.entry(got.0).or_insert(0) += 1;
+        }
+        assert_eq!(counts, [(401, 10), (429, 30)].into());
+        for n in 1..10 {
+            let got = post(rig.to, &rig.key, "198.51.100.1", &format!("m{n}"), small()).await;
+            assert_eq!(got.0, 200, "known, and served throughout");
+        }
+        assert_eq!(post(rig.to, &rig.key, "198.51.100.9", "m10", small()).await.0, 429, "not yet known");
+        assert_eq!(rig.arrived(), 10);
+    });
+}
+
+#[test]
+fn a_source_is_looked_at_again_once_its_budget_has_filled() {
+    smol::block_on(async {
+        let rig = guarded(r#"source-burst="1" source-rate="5""#).await;
+        let forger = Key::generate(KeyKind::Shared).unwrap();
+        assert_eq!(post(rig.to, &forger, "198.51.100.1", "f", small()).await.0, 401);
+        rig.until("it is served", async || {
+            let got = post(rig.to, &rig.key, "198.51.100.1", "m", small()).await.0;
+            assert!(got == 200 || got == 429, "{got}");
+            got == 200
+        })
+        .await;
+    });
+}
+
+#[test]
+fn large_bodies_are_checked_apart_and_cost_more_where_they_fail() {
+    smol::block_on(async {
+        let rig = guarded(r#"source-burst="3" source-rate="0""#).await;
+        let forger = Key::generate(KeyKind::Shared).unwrap();
+        let large = || {
+            (
+                now(),
+                format!("{{\"work_us\": 1000, \"mean_us\": 1000, \"x\": \"{}\"}}", "x".repeat(150_000))
+                    .into_bytes(),
+            )
+        };
+        assert_eq!(post(rig.to, &rig.key, "198.51.100.1", "m1", large()).await.0, 200);
+        assert_eq!(post(rig.to, &forger, "198.51.100.2", "f1", large()).await.0, 401);
+        assert_eq!(post(rig.to, &forger, "198.51.100.2", "f2", small()).await.0, 429, "all three are spent");
+        assert_eq!(rig.arrived(), 1);
+    });
+}
+
+#[test]
+fn clocks_of_senders_are_told_and_stale_messages_count_as_failed() {
+    smol::block_on(async {
+        let rig = guarded(r#"source-burst="2" source-rate="0""#).await;
+        let ahead = || (now() + 100, small().1);
+        assert_eq!(post(rig.to, &rig.key, "198.51.100.1", "m1", ahead()).await.0, 200);
+        let (_, text) = rig.get("/metrics").await;
+        let told = |n: i64| text.contains(&format!("sender_clock_skew_seconds{{sender=\"portal\"}} {n}\n"));
+        assert!(told(100) || told(99), "{text}");
+        let stale = || (now() - 400, small().1);
+        for n in 0..2 {
+            let got = post(rig.to, &rig.key, "198.51.100.3", &format!("s{n}"), stale()).await;
+            assert_eq!(got, (401, "stale timestamp".into()));
+        }
+        assert_eq!(post(rig.to, &rig.key, "198.51.100.3", "s2", stale()).await.0, 429);
+    });
+}
--- a/crates/badgerwind-config/src/parts.rs
+++ b/crates/badgerwind-config/src/parts.rs
@@ -64,6 +64,9 @@
     ("stop", &[]),
 ];
 
+/// What a part may hold in its webhook element; all else there is a machine's own.
+const ROUTES: [&str; 2] = ["sender", "route"];
+
 /// SHA-256 of a part's text, by which the same number with other content is told.
 pub type Digest = [u8; 32];
 
@@ -119,6 +122,16 @@
         if !strange.is_empty() {
             return Err(strange);
         }
+        let own = node.all("webhook").flat_map(|w| &w.children).find(|c| !ROUTES.contains(&c.name.as_str()));
+        if let Some(own) = own {
+            return Err(vec![Problem {
+                file,
+                line: own.line,
+                element: own.name.clone(),
+                what: "is each machine's own, and stays in its file".into(),
+                right: format!("a part's webhook holds {}", ROUTES.join(", ")),
+            }]);
+        }
         let digest = Sha256::digest(text.as_bytes()).into();
         Ok(Part { kind, version, text: text.into(), digest, node })
     }
@@ -140,9 +153,11 @@
             }
             Kind::Routes => {
                 let Some(to) = whole.children.iter_mut().find(|c| c.name == "webhook") else { continue };
-                to.children.clear();
+                // Budgets and certificates stand in the same element and are the machine's own.
+                let routes = |c: &&Node| ROUTES.contains(&c.name.as_str());
+                to.children.retain(|c| !routes(&c));
                 for from in part.node.all("webhook") {
-                    to.children.extend(from.children.iter().cloned());
+                    to.children.extend(from.children.iter().filter(routes).cloned());
                 }
             }
             Kind::Limits => {
--- a/crates/badgerwind-gateway/src/front.rs
+++ b/crates/badgerwind-gateway/src/front.rs
@@ -14,13 +14,15 @@
 use badgerwind::interface::*;
 use badgerwind_config::shadow::Recorded;
 use badgerwind_driver::{Call, Final};
+use badgerwind_guard::{forwarded, Budget, Guard, Permit, Source, Who};
 use badgerwind_http::{Conn, Limits, RequestHead, Response};
 use badgerwind_settings::{Settings, Target};
-use badgerwind_webhook::{Admission, Bounds, Digest, Ending, Key, KeyRing, Replay, VerifyError};
+use badgerwind_webhook::{Admission, Bounds, Claim, Digest, Ending, Key, KeyRing, Replay, Skew, VerifyError};
 use futures_lite::FutureExt;
 use smol::net::{TcpListener, TcpStream};
 use smol::Timer;
 use std::collections::VecDeque;
+use std::net::IpAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
@@ -66,6 +68,12 @@
     /// Callbacks owed.
     pub owed: Arc<AtomicUsize>,
     pub replay: Mutex<Memory>,
+    /// Budgets for failed signatures.
+    pub guard: Mutex<Guard>,
+    /// Senders' clocks, by their place.
+    pub skews: Mutex<Vec<Skew>>,
+    /// Places for checks of large bodies, which go on threads of their own.
+    pub checks: smol::lock::Semaphore,
     pub inputs: Sender<Input>,
     pub clock: Clock,
     pub metrics: Arc<Metrics>,
@@ -253,9 +261,38 @@
     Bounds { count: w.remember_most, keep: w.remember, waiters: w.waiters, bytes: w.remember_bytes }
 }
 
+/// The bounds of the budgets for failed signatures, from the settings.
+pub(crate) fn guard_bounds(settings: &Settings) -> badgerwind_guard::Bounds {
+    let g = &settings.webhook.guard;
+    let budget = |(burst, rate)| Budget { burst, rate };
+    badgerwind_guard::Bounds {
+        source: budget(g.source),
+        sender: budget(g.sender),
+        sources: g.sources,
+        known_for: g.known_for,
+        bytes: g.bytes,
+    }
+}
+
+/// A body of at most so many bytes is read to its end after its message was turned away, so that the connection can
+/// go on.
+const SHORT: u64 = 16 * 1024;
+
+/// Bodies above this many bytes are checked on a thread of their own, so that other connections go on meanwhile.
+const LARGE: usize = 32 * 1024;
+
 /// What a remembered id takes beside its body and itself, roughly.
 const RECORD: usize = 256;
 
+/// A message whose signature was good.
+struct Verified {
+    /// The name of the key that signed it.
+    key: Arc<str>,
+    /// Of path and body.
+    digest: Digest,
+    body: Vec<u8>,
+}
+
 /// What becomes of one message.
 enum Handled {
     Answer(Arc<Response>),
@@ -273,6 +310,15 @@
     /// Other rules from now on; messages already taken keep theirs.
     pub(crate) fn change(&self, rules: Rules) {
         self.memory().set_bounds(bounds(&rules.settings));
+        let names = |s: &Settings| s.webhook.senders.iter().map(|s| s.name.clone()).collect::<Vec<_>>();
+        let mut guard = self.guard();
+        guard.set_bounds(guard_bounds(&rules.settings));
+        if names(&self.rules().settings) != names(&rules.settings) {
+            guard.senders_changed();
+            let mut skews = self.skews.lock().unwrap_or_else(PoisonError::into_inner);
+            *skews = vec![Skew::default(); rules.settings.webhook.senders.len()];
+        }
+        drop(guard);
         *self.rules.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(rules);
         let _ = self.freed.try_send(());
     }
@@ -286,6 +332,10 @@
         recent.push_back(call);
     }
 
+    fn guard(&self) -> MutexGuard<'_, Guard> {
+        self.guard.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn memory(&self) -> MutexGuard<'_, Memory> {
         self.replay.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -297,8 +347,8 @@
             while self.open.load(Ordering::Relaxed) >= self.rules().settings.webhook.connections {
                 let _ = self.free.recv().await;
             }
-            let stream = match listener.accept().await {
-                Ok((stream, _)) => stream,
+            let (stream, peer) = match listener.accept().await {
+                Ok((stream, from)) => (stream, from.ip()),
                 Err(e) => {
                     tracing::warn!("a connection cannot be accepted: {e}");
                     Timer::after(ACCEPT_PAUSE).await;
@@ -311,7 +361,7 @@
             self.open.fetch_add(1, Ordering::Relaxed);
             smol::spawn(async move {
                 front.metrics.connections.inc();
-                front.connection(Conn::new(stream, Arc::new(limits))).await;
+                front.connection(Conn::new(stream, Arc::new(limits)), peer).await;
                 front.metrics.connections.dec();
                 front.open.fetch_sub(1, Ordering::Relaxed);
                 let _ = front.freed.try_send(());
@@ -320,7 +370,7 @@
         }
     }
 
-    async fn connection(self: &Arc<Self>, mut conn: Conn<TcpStream>) {
+    async fn connection(self: &Arc<Self>, mut conn: Conn<TcpStream>, peer: IpAddr) {
         loop {
             let head = match conn.head().await {
                 Ok(Some(head)) => head,
@@ -331,19 +381,30 @@
             // One message is judged by one set of rules, whatever changes meanwhile.
             let rules = self.rules();
             // What needs no body is judged before one is read.
-            let route = match route(&rules.settings, &head) {
-                Ok(route) => route,
+            let judged = route(&rules.settings, &head)
+                .and_then(|route| Ok((route, self.claimed(&rules, &head, route.0, peer)?)));
+            let (route, claimed) = match judged {
+                Ok(judged) => judged,
                 Err(away) => {
                     self.metrics.turned_away(away.reason);
-                    let _ = conn.respond(&problem(&away), false).await;
-                    return conn.close().await;
+                    // Reading a short body costs less than the connection that would be opened next.
+                    let short = matches!(head.framing, badgerwind_http::Framing::Length(n) if n <= SHORT)
+                        && !head.expects_continue();
+                    let keep = short
+                        && head.keeps_alive()
+                        && !self.stopping.load(Ordering::Relaxed)
+                        && conn.body(&head).await.is_ok();
+                    if conn.respond(&problem(&away), keep).await.is_err() || !keep {
+                        return conn.close().await;
+                    }
+                    continue;
                 }
             };
             let body = match conn.body(&head).await {
                 Ok(body) => body,
                 Err(e) => return self.refuse_wire(conn, e).await,
             };
-            let handled = self.message(&mut conn, &rules, &head, route, body, began).await;
+            let handled = self.message(&mut conn, &rules, &head, route, (claimed, body, began)).await;
             let keep = head.keeps_alive() && !self.stopping.load(Ordering::Relaxed);
             let written = match handled {
                 Handled::Answer(response) => conn.respond(&response, keep).await,
@@ -364,16 +425,106 @@
         }
     }
 
+    /// What is judged before a body is read: the source's budget, the form of the headers, the time.
+    fn claimed(
+        &self,
+        rules: &Rules,
+        head: &RequestHead,
+        route: usize,
+        peer: IpAddr,
+    ) -> Result<(Permit, Claim), Away> {
+        let w = &rules.settings.webhook;
+        let sender = w.routes[route].sender;
+        let header = |name| head.headers.get(name);
+        let source = forwarded(peer, &w.guard.balancers, header("x-forwarded-for")).unwrap_or(peer);
+        let who = Who { source: Source::of(source), sender };
+        let bytes = match head.framing {
+            badgerwind_http::Framing::Length(n) => n.min(w.body_bytes as u64),
+            _ => w.body_bytes as u64,
+        };
+        let now = self.clock.now();
+        let mut guard = self.guard();
+        let permit = guard.enter(now, who, bytes).map_err(|turned| {
+            let text = "too many signatures from there have failed; this message was not looked at";
+            Away { retry_after: Some(turned.wait()), ..away(429, "failed-signatures", text) }
+        })?;
+        let (id, signature) = (header(badgerwind_webhook::ID), header(badgerwind_webhook::SIGNATURE));
+        let time = header(badgerwind_webhook::TIMESTAMP);
+        match rules.rings[sender].claim(unix_seconds(), id, time, signature) {
+            Ok(claim) => Ok((permit, claim)),
+            Err(e) => {
+                guard.failed(now, permit);
+                drop(guard);
+                Err(self.unverified(&w.senders[sender].name, who.source, &e))
+            }
+        }
+    }
+
+    fn unverified(&self, sender: &str, source: Source, e: &VerifyError) -> Away {
+        tracing::debug!(sender, %source, "{e}");
+        self.metrics.failed_signature(sender);
+        let (status, reason) = match e {
+            VerifyError::Mismatch => (401, "bad-signature"),
+            e if e.is_stale() => (401, "stale-timestamp"),
+            _ => (400, "malformed-webhook"),
+        };
+        away(status, reason, e.to_string())
+    }
+
+    /// Holds a message's body against its claim; gives the body back, with the key's name and the body's digest.
+    async fn verify(
+        &self,
+        rules: &Arc<Rules>,
+        route: usize,
+        (permit, claim): (Permit, Claim),
+        body: Vec<u8>,
+    ) -> Result<Verified, Away> {
+        let now = unix_seconds();
+        let (sent, of, source) = (claim.sent(), rules.clone(), permit.who().source);
+        let check = move || {
+            let route = &of.settings.webhook.routes[route];
+            let key = claim.check(&of.rings[route.sender], now, &body)?;
+            let digest = Digest::of_parts(&[route.path.as_bytes(), b"\n", &body]);
+            Ok(Verified { key, digest, body })
+        };
+        let large = rules.settings.webhook.body_bytes.min(LARGE);
+        let checked = match permit.bytes() > large as u64 {
+            true => {
+                let _place = self.checks.acquire().await;
+                smol::unblock(check).await
+            }
+            false => check(),
+        };
+        let sender = rules.settings.webhook.routes[route].sender;
+        let named = &rules.settings.webhook.senders[sender];
+        let (at, mut guard) = (self.clock.now(), self.guard());
+        match &checked {
+            Ok(_) => guard.good(at, permit),
+            Err(_) => guard.failed(at, permit),
+        }
+        self.metrics.guard_sources.set(guard.watched() as i64);
+        self.metrics.guard_known.set(guard.known() as i64);
+        drop(guard);
+        let mut skews = self.skews.lock().unwrap_or_else(PoisonError::into_inner);
+        if let (Ok(_), Some(skew)) = (&checked, skews.get_mut(sender)) {
+            skew.seen(now, sent);
+            self.metrics.skew(&named.name, skew.ahead(now).unwrap_or(0));
+        }
+        drop(skews);
+        checked.map_err(|e| self.unverified(&named.name, source, &e))
+    }
+
     async fn message(
         self: &Arc<Self>,
         conn: &mut Conn<TcpStream>,
-        rules: &Rules,
+        rules: &Arc<Rules>,
         head: &RequestHead,
         (route, function): (usize, usize),
-        body: Vec<u8>,
-        began: Time,
+        (claimed, body, began): ((Permit, Claim), Vec<u8>, Time),
     ) -> Handled {
-        match self.admit(rules, head, (route, function), body, began) {
+        let verified = self.verify(rules, route, claimed, body).await;
+        let admitted = verified.and_then(|v| self.admit(rules, head, (route, function), v, began));
+        match admitted {
             Err(away) => {
                 self.metrics.turned_away(away.reason);
                 Handled::Answer(Arc::new(problem(&away)))
@@ -430,13 +581,13 @@
         }
     }
 
-    /// Signature, time and memory: whether this message starts a call.
+    /// Time and memory: whether a verified message starts a call.
     fn admit(
         self: &Arc<Self>,
         rules: &Rules,
         head: &RequestHead,
         (route, function): (usize, usize),
-        body: Vec<u8>,
+        verified: Verified,
         began: Time,
     ) -> Result<Admitted, Away> {
         let settings = &rules.settings;
@@ -444,23 +595,8 @@
         let route = &w.routes[route];
         let header = |name| head.headers.get(name);
         let id = header(badgerwind_webhook::ID);
-        let verified = rules.rings[route.sender].verify(
-            unix_seconds(),
-            id,
-            header(badgerwind_webhook::TIMESTAMP),
-            header(badgerwind_webhook::SIGNATURE),
-            &body,
-        );
         let sender = &w.senders[route.sender];
-        let key = verified.map_err(|e| {
-            tracing::debug!(sender = %sender.name, "{e}");
-            let (status, reason) = match &e {
-                VerifyError::Mismatch => (401, "bad-signature"),
-                e if e.is_stale() => (401, "stale-timestamp"),
-                _ => (400, "malformed-webhook"),
-            };
-            away(status, reason, e.to_string())
-        })?;
+        let Verified { key, digest, body } = verified;
         let id: Arc<str> = id.unwrap_or("").into();
         if self.stopping.load(Ordering::Relaxed) {
             return Err(away(503, "stopping", "this front end stops; another will take it"));
@@ -477,7 +613,6 @@
         if due <= self.clock.now() + set.round {
             return Err(away(503, "no-time", "too little of the sender's time is left"));
         }
-        let digest = Digest::of(&[route.path.as_bytes(), b"\n", &body].concat());
         let unsafe_call = class.effect != Effect::Repeatable;
         let scoped: Arc<str> = format!("{}/{id}", sender.name).into();
         let (waiter, wait) = async_channel::bounded(1);
--- a/crates/badgerwind-gateway/src/metrics.rs
+++ b/crates/badgerwind-gateway/src/metrics.rs
@@ -30,6 +30,11 @@
     pub reason: &'static str,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct BySender {
+    pub sender: String,
+}
+
 /// All figures; cheap to update from any thread.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -41,6 +46,10 @@
     pub turned_away: Family<ByReason, Counter>,
     pub held: Gauge,
     pub remembered_ids: Gauge,
+    pub guard_sources: Gauge,
+    pub guard_known: Gauge,
+    pub failed_signatures: Family<BySender, Counter>,
+    pub clock_skew: Family<BySender, Gauge>,
     pub connections: Gauge,
     pub runners: Gauge,
     pub list_version: Gauge<u64, AtomicU64>,
@@ -61,6 +70,10 @@
             turned_away: Family::default(),
             held: Gauge::default(),
             remembered_ids: Gauge::default(),
+            guard_sources: Gauge::default(),
+            guard_known: Gauge::default(),
+            failed_signatures: Family::default(),
+            clock_skew: Family::default(),
             connections: Gauge::default(),
             runners: Gauge::default(),
             list_version: Gauge::default(),
@@ -76,6 +89,15 @@
         r.register("turned_away", "Messages answered by the front itself, by reason", m.turned_away.clone());
         r.register("held", "Calls owed an answer", m.held.clone());
         r.register("remembered_ids", "Webhook ids remembered", m.remembered_ids.clone());
+        let help = "Source addresses whose budget of failed signatures is not whole";
+        r.register("guard_sources", help, m.guard_sources.clone());
+        let help = "Pairs of source address and sender that signed of late";
+        r.register("guard_known", help, m.guard_known.clone());
+        let help = "Messages whose signature failed, by the sender that they claimed";
+        r.register("failed_signatures", help, m.failed_signatures.clone());
+        let help =
+            "How far a sender's clock runs ahead of this one, by its signed messages of late, in seconds";
+        r.register("sender_clock_skew_seconds", help, m.clock_skew.clone());
         r.register("connections", "Connections of senders", m.connections.clone());
         r.register("runners_ready", "Runners listed as ready", m.runners.clone());
         r.register("list_version", "Version of the runner list", m.list_version.clone());
@@ -93,6 +115,14 @@
         self.turned_away.get_or_create(&ByReason { reason }).inc();
     }
 
+    pub(crate) fn failed_signature(&self, sender: &str) {
+        self.failed_signatures.get_or_create(&BySender { sender: sender.to_owned() }).inc();
+    }
+
+    pub(crate) fn skew(&self, sender: &str, ahead: i64) {
+        self.clock_skew.get_or_create(&BySender { sender: sender.to_owned() }).set(ahead);
+    }
+
     fn text(&self) -> String {
         let mut text = String::new();
         // Writing to a `String` cannot fail.
--- a/crates/badgerwind-gateway/src/serve.rs
+++ b/crates/badgerwind-gateway/src/serve.rs
@@ -3,7 +3,7 @@
 use crate::clock::Clock;
 use crate::control::{Follower, Following};
 use crate::engine::{Control, Engine, EngineEnd};
-use crate::front::{bounds, Counts, Front, Rules};
+use crate::front::{bounds, guard_bounds, Counts, Front, Rules};
 use crate::list::Lister;
 use crate::metrics::{self, Metrics};
 use crate::peers::Peers;
@@ -14,9 +14,10 @@
 use badgerwind::Router;
 use badgerwind_config::{Client, Report};
 use badgerwind_driver::Decider;
+use badgerwind_guard::Guard;
 use badgerwind_protocol::list::List;
 use badgerwind_settings::Settings;
-use badgerwind_webhook::Replay;
+use badgerwind_webhook::{Replay, Skew};
 use futures_lite::FutureExt;
 use smol::net::TcpListener;
 use smol::{Async, Timer};
@@ -179,6 +180,9 @@
         counts: Counts::default(),
         owed: Arc::default(),
         replay: Mutex::new(Replay::new(bounds(&settings))),
+        guard: Mutex::new(Guard::new(clock.now(), guard_bounds(&settings))),
+        skews: Mutex::new(vec![Skew::default(); settings.webhook.senders.len()]),
+        checks: smol::lock::Semaphore::new(std::thread::available_parallelism().map_or(1, |n| n.get())),
         inputs: report,
         clock,
         metrics: metrics.clone(),
--- a/crates/badgerwind-settings/src/document.rs
+++ b/crates/badgerwind-settings/src/document.rs
@@ -219,6 +219,7 @@
         Kind::Number(least, most) => number(value).is_some_and(|n| (least..=most).contains(&n)),
         Kind::Time(least, most) => time(value).is_some_and(|t| (least..=most).contains(&t)),
         Kind::Address => value.parse::<std::net::SocketAddr>().is_ok(),
+        Kind::Host => value.parse::<std::net::IpAddr>().is_ok(),
         Kind::Date => humantime::parse_rfc3339(value).is_ok(),
     };
     if ok {
--- a/crates/badgerwind-settings/src/read.rs
+++ b/crates/badgerwind-settings/src/read.rs
@@ -364,6 +364,18 @@
     Sender { name: s.string("name"), tenant, tolerance: s.span("tolerance") / 1_000_000, secrets, callbacks }
 }
 
+fn guard(g: &Checked<'_>) -> Guard {
+    let pair = |burst, rate| (g.whole(burst) as u32, g.whole(rate) as u32);
+    Guard {
+        source: pair("source-burst", "source-rate"),
+        sender: pair("sender-burst", "sender-rate"),
+        sources: g.size("sources"),
+        known_for: g.span("known-for"),
+        bytes: g.whole("bytes"),
+        balancers: g.all("balancer").iter().filter_map(|b| b.text("address").parse().ok()).collect(),
+    }
+}
+
 fn webhook(
     r: &mut Reading,
     w: &Checked<'_>,
@@ -407,6 +419,7 @@
         callbacks: w.size("callbacks"),
         remember_bytes: w.size("remember-bytes"),
         waiters: w.size("waiters"),
+        guard: guard(&w.or_default("guard")),
         senders,
         routes,
     }
--- a/crates/badgerwind-settings/src/schema.rs
+++ b/crates/badgerwind-settings/src/schema.rs
@@ -25,6 +25,8 @@
     Time(u64, u64),
     /// An IP address and port.
     Address,
+    /// An IP address.
+    Host,
     /// A moment, as RFC 3339 has it.
     Date,
 }
@@ -45,6 +47,7 @@
                 format!("a time from {} to {}, such as 250ms, 1.5s or 2min", span(*a), span(*b))
             }
             Kind::Address => "an IP address and port, such as 127.0.0.1:8080".into(),
+            Kind::Host => "an IP address, such as 127.0.0.1 or ::1".into(),
             Kind::Date => "a moment such as 2026-12-01T18:00:00Z".into(),
         }
     }
@@ -330,6 +333,41 @@
     ],
     children: &[],
 };
+const BALANCER: Element = Element {
+    name: "balancer",
+    doc: "A load balancer in front. Where a connection comes from it, messages count as the last address in X-Forwarded-For that is none of these.",
+    attrs: &[must("address", Kind::Host, "Its address.")],
+    children: &[],
+};
+const GUARD: Element = Element {
+    name: "guard",
+    doc: "Budgets for messages whose signature fails. Beyond them messages are turned away unread, with 429.",
+    attrs: &[
+        or("source-burst", Kind::Whole(1, 1_000_000), "200", "Failed checks of one source address at once."),
+        or("source-rate", Kind::Whole(0, 1_000_000), "20", "Further ones a second."),
+        or(
+            "sender-burst",
+            Kind::Whole(1, 1_000_000),
+            "2000",
+            "Failed checks at once as one sender, by all addresses that have signed nothing for it of late.",
+        ),
+        or("sender-rate", Kind::Whole(0, 1_000_000), "200", "Further ones a second."),
+        or(
+            "sources",
+            Kind::Whole(1, 10_000_000),
+            "10000",
+            "Addresses kept apart; further ones share one budget. As many are known to senders.",
+        ),
+        or(
+            "known-for",
+            Kind::Time(SECOND, 24 * HOUR),
+            "10min",
+            "An address that signed for a sender counts as known to it for so long.",
+        ),
+        or("bytes", BYTES, "65536", "A body costs one check more for each so many bytes."),
+    ],
+    children: &[any(&BALANCER)],
+};
 const WEBHOOK: Element = Element {
     name: "webhook",
     doc: "The front for signed webhooks.",
@@ -359,7 +397,7 @@
         or("remember-bytes", Kind::Whole(1024, 1 << 36), "67108864", "Bytes of answers remembered at once."),
         or("waiters", Kind::Whole(1, 10_000), "16", "Repeats that may wait for one answer."),
     ],
-    children: &[some(&SENDER), some(&ROUTE)],
+    children: &[some(&SENDER), some(&ROUTE), maybe(&GUARD)],
 };
 const RUNNERS: Element = Element {
     name: "runners",
@@ -565,6 +603,7 @@
         Kind::Number(l, m) => ("decimal", range(l.to_string(), m.to_string())),
         Kind::Time(..) => ("string", pattern("[0-9]+(\\.[0-9]+)?(us|ms|s|min|h)")),
         Kind::Address => ("string", pattern(".+:[0-9]{1,5}")),
+        Kind::Host => ("string", pattern("[0-9A-Fa-f.:]{2,45}")),
         Kind::Date => ("string", pattern("[0-9]{4}-[0-9]{2}-[0-9]{2}T[0-9:.]+Z")),
     };
     let _ = writeln!(out, "{pad}    <xs:attribute name=\"{}\" {usage}>", a.name);
--- a/crates/badgerwind-settings/src/typed.rs
+++ b/crates/badgerwind-settings/src/typed.rs
@@ -1,7 +1,7 @@
 //! The settings as the daemon uses them.
 
 use badgerwind::interface::Span;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::time::Duration;
 
@@ -84,12 +84,31 @@
     pub remember_bytes: usize,
     /// Repeats that may wait for one answer.
     pub waiters: usize,
+    /// Budgets for messages whose signature fails.
+    pub guard: Guard,
     /// The senders.
     pub senders: Vec<Sender>,
     /// The routes.
     pub routes: Vec<Route>,
 }
 
+/// Budgets for messages whose signature fails.
+#[derive(Clone, Debug)]
+pub struct Guard {
+    /// Failed checks of one source: at once, and further ones a second.
+    pub source: (u32, u32),
+    /// Failed checks of strangers as one sender: at once, and further ones a second.
+    pub sender: (u32, u32),
+    /// Sources kept apart.
+    pub sources: usize,
+    /// How long a source that signed counts as known.
+    pub known_for: Span,
+    /// A body costs one check more for each so many bytes.
+    pub bytes: u64,
+    /// Load balancers in front.
+    pub balancers: Vec<IpAddr>,
+}
+
 /// A sender of webhooks.
 #[derive(Clone, Debug)]
 pub struct Sender {
--- a/crates/badgerwind-webhook/src/lib.rs
+++ b/crates/badgerwind-webhook/src/lib.rs
@@ -8,10 +8,12 @@
 mod key;
 mod replay;
 mod sign;
+mod skew;
 
 pub use key::{Key, KeyError, KeyKind};
 pub use replay::{Admission, Bounds, Digest, Ending, Replay};
-pub use sign::{sign, KeyRing, RingKey, Signed, VerifyError};
+pub use sign::{sign, Claim, KeyRing, RingKey, Signed, VerifyError};
+pub use skew::Skew;
 
 /// Name of the header with the message's id, which is the idempotency key.
 pub const ID: &str = "webhook-id";
--- a/crates/badgerwind-webhook/src/replay.rs
+++ b/crates/badgerwind-webhook/src/replay.rs
@@ -19,7 +19,13 @@
 impl Digest {
     /// Of these bytes.
     pub fn of(body: &[u8]) -> Self {
-        Digest(Sha256::digest(body).into())
+        Digest::of_parts(&[body])
+    }
+    /// Of these bytes, one part after the other.
+    pub fn of_parts(parts: &[&[u8]]) -> Self {
+        let mut sha = Sha256::new();
+        parts.iter().for_each(|p| sha.update(p));
+        Digest(sha.finalize().into())
     }
 }
 
--- a/crates/badgerwind-webhook/src/sign.rs
+++ b/crates/badgerwind-webhook/src/sign.rs
@@ -135,6 +135,17 @@
         signature: Option<&str>,
         body: &[u8],
     ) -> Result<Arc<str>, VerifyError> {
+        self.claim(now, id, timestamp, signature)?.check(self, now, body)
+    }
+
+    /// What can be judged by the headers alone, before a body is read: their form and the time.
+    pub fn claim(
+        &self,
+        now: i64,
+        id: Option<&str>,
+        timestamp: Option<&str>,
+        signature: Option<&str>,
+    ) -> Result<Claim, VerifyError> {
         let id = id.ok_or(VerifyError::Missing(crate::ID))?;
         let timestamp = timestamp.ok_or(VerifyError::Missing(crate::TIMESTAMP))?;
         let signature = signature.ok_or(VerifyError::Missing(crate::SIGNATURE))?;
@@ -166,11 +177,33 @@
             return Err(VerifyError::NoSignature);
         }
         // The timestamp goes in as it was written: what was signed is text.
-        let start = format!("{id}.{timestamp}.");
+        Ok(Claim { start: format!("{id}.{timestamp}."), sent, shared, public })
+    }
+}
+
+/// What a message's headers claim, in good form and of a good time; whether it is true, its body shows.
+#[derive(Clone, Debug)]
+pub struct Claim {
+    /// What is signed before the body.
+    start: String,
+    sent: i64,
+    shared: Vec<Vec<u8>>,
+    public: Vec<ed25519_dalek::Signature>,
+}
+
+impl Claim {
+    /// The timestamp, in seconds since the Unix epoch.
+    pub fn sent(&self) -> i64 {
+        self.sent
+    }
+
+    /// Holds the claim against the body and the live keys of a ring; returns the name of the key that matched.
+    pub fn check(&self, ring: &KeyRing, now: i64, body: &[u8]) -> Result<Arc<str>, VerifyError> {
+        let Claim { start, shared, public, .. } = self;
         let live =
             |k: &&RingKey| k.not_before.is_none_or(|t| now >= t) && k.not_after.is_none_or(|t| now < t);
         let mut whole = None;
-        for ring in self.keys.iter().filter(live) {
+        for ring in ring.keys.iter().filter(live) {
             let matched = match &ring.key {
                 Key::Shared(secret) if !shared.is_empty() => {
                     // `verify_slice` compares in constant time.
@@ -179,8 +212,8 @@
                 }
                 Key::Shared(_) => false,
                 Key::Private(_) | Key::Public(_) if public.is_empty() => false,
-                Key::Private(k) => verify_public(&k.verifying_key(), &mut whole, &start, body, &public),
-                Key::Public(k) => verify_public(k, &mut whole, &start, body, &public),
+                Key::Private(k) => verify_public(&k.verifying_key(), &mut whole, start, body, public),
+                Key::Public(k) => verify_public(k, &mut whole, start, body, public),
             };
             if matched {
                 return Ok(ring.name.clone());
