TLS towards senders and runners by rustls, certificates exchanged while serving

Need: webhooks and calls crossed the wire in the clear; runners could not tell a front end by its certificate. Change: badgerwind-http speaks TLS 1.2 and 1.3 under both sides; <tls> in <webhook> and <runners>; certificates may be asked for on either side; SIGHUP reads them again, all or none; send --to https://. Stand-in runners speak it too.

--- a/crates/badgerwind-cli/src/demo.rs
+++ b/crates/badgerwind-cli/src/demo.rs
@@ -56,8 +56,17 @@
         let (socket, address) = listener().await?;
         let keys = Some(KeyRing { keys: vec![ring.clone()], tolerance: 300 });
         let (store, recorder) = (Some(store_address), Recorder::none());
-        let options =
-            runner::Options { id, spec, cold: false, store, keys, group: None, fenced: None, recorder };
+        let options = runner::Options {
+            id,
+            spec,
+            cold: false,
+            store,
+            keys,
+            group: None,
+            fenced: None,
+            recorder,
+            tls: None,
+        };
         tasks.push(smol::spawn(runner::serve(socket, options)));
         let (zone, cell, kind, size, state, started) = (0, 0, 0, 1.0, State::Ready, None);
         runners.push(Runner { id, address, zone, cell, kind, size, state, started });
--- a/crates/badgerwind-cli/src/outbox.rs
+++ b/crates/badgerwind-cli/src/outbox.rs
@@ -3,12 +3,11 @@
 //! Beside each file that is not delivered yet stands `ID.state`, so that a run that was killed goes on where it was.
 //! What was delivered moves to `done/`, what was given up to `dead/`, with the reason beside it.
 
-use crate::send::{post, Message};
+use crate::send::{post, Message, To};
 use crate::Stop;
 use badgerwind_webhook::delivery::{next, Got, Next};
 use badgerwind_webhook::Key;
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -17,7 +16,7 @@
     /// The folder.
     pub folder: &'a Path,
     /// The receiver.
-    pub to: SocketAddr,
+    pub to: To,
     /// Its path.
     pub path: &'a str,
     /// What signs.
@@ -121,7 +120,7 @@
             let retry = state.made > 1;
             let message =
                 Message { id: &id, path: self.path, deadline: self.deadline, retry, callback: None, body };
-            match smol::block_on(post(self.to, self.key, message)) {
+            match smol::block_on(post(self.to.clone(), self.key, message)) {
                 Ok((head, _)) => {
                     let seconds: Option<u64> = head.headers.get("retry-after").and_then(|v| v.parse().ok());
                     Got::Status(head.status, seconds.map(|s| s.saturating_mul(1_000_000)))
--- a/crates/badgerwind-cli/src/send.rs
+++ b/crates/badgerwind-cli/src/send.rs
@@ -2,7 +2,7 @@
 
 use crate::Stop;
 use badgerwind_gateway::secrets::read_key;
-use badgerwind_http::{Exchange, Pool, PoolBounds, ResponseHead};
+use badgerwind_http::{ClientTls, Exchange, Identity, Pool, PoolBounds, ResponseHead};
 use badgerwind_webhook::{sign, Key, ID, SIGNATURE, TIMESTAMP};
 use futures_lite::FutureExt;
 use std::io::Read;
@@ -22,9 +22,21 @@
     /// With --from: the messages must not run twice and their receiver has no fence
     #[arg(long, requires = "from")]
     pub lodgements: bool,
-    /// Where to, such as http://127.0.0.1:8080/lodge; an IP address and port
+    /// Where to, such as http://127.0.0.1:8080/lodge, or https; an IP address and port
     #[arg(long)]
     pub to: String,
+    /// For https: the authorities whose certificates are trusted, in PEM
+    #[arg(long)]
+    pub authority: Option<PathBuf>,
+    /// For https: the name that the certificate must bear; the address where it is left out
+    #[arg(long, requires = "authority")]
+    pub name: Option<String>,
+    /// For https: the sender's own certificate, in PEM, where it is asked for
+    #[arg(long, requires = "authority", requires = "certificate_key")]
+    pub certificate: Option<PathBuf>,
+    /// Its private key
+    #[arg(long, requires = "certificate")]
+    pub certificate_key: Option<PathBuf>,
     /// The file with the key that signs
     #[arg(long)]
     pub key_file: PathBuf,
@@ -45,6 +57,21 @@
     pub callback: Option<String>,
 }
 
+/// A receiver: where it listens, and how it is met under TLS.
+#[derive(Clone, Debug)]
+pub struct To {
+    /// Where it listens.
+    pub at: SocketAddr,
+    /// How it is met; `None`: without TLS.
+    pub tls: Option<ClientTls>,
+}
+
+impl From<SocketAddr> for To {
+    fn from(at: SocketAddr) -> Self {
+        To { at, tls: None }
+    }
+}
+
 /// A signed message.
 pub struct Message<'a> {
     /// Its id.
@@ -63,7 +90,7 @@
 
 /// Posts a signed message and waits for the answer.
 pub async fn post(
-    to: SocketAddr,
+    to: impl Into<To>,
     key: &Key,
     message: Message<'_>,
 ) -> Result<(ResponseHead, Vec<u8>), String> {
@@ -92,17 +119,46 @@
         smol::Timer::after(message.deadline).await;
         Err("no answer in time".to_owned())
     };
-    let pool = Pool::new(to, bounds);
+    let To { at, tls } = to.into();
+    let pool = Pool::new(at, bounds);
+    pool.set_tls(tls);
     async { pool.exchange(&request).await.map_err(|e| e.to_string()) }.or(late).await
 }
 
-/// Posts one and prints what came back; exit 1 unless it was served.
-pub fn run(args: &Args) -> Result<(), Stop> {
-    let rest = args.to.strip_prefix("http://").ok_or_else(|| Stop::usage("--to starts with http://"))?;
+fn receiver(args: &Args) -> Result<(To, &str), Stop> {
+    let (secure, rest) = match (args.to.strip_prefix("https://"), args.to.strip_prefix("http://")) {
+        (Some(rest), _) => (true, rest),
+        (_, Some(rest)) => (false, rest),
+        _ => return Err(Stop::usage("--to starts with http:// or https://")),
+    };
     let (host, path) = rest.find('/').map_or((rest, "/"), |at| rest.split_at(at));
-    let to: SocketAddr = host
+    let at: SocketAddr = host
         .parse()
         .map_err(|_| Stop::usage(format!("{host} is no IP address and port, such as 127.0.0.1:8080")))?;
+    let read = |path: &PathBuf| {
+        std::fs::read(path).map_err(|e| Stop::usage(format!("cannot read {}: {e}", path.display())))
+    };
+    let tls = match (secure, &args.authority) {
+        (false, None) => None,
+        (false, Some(_)) => return Err(Stop::usage("--authority goes with https://")),
+        (true, None) => return Err(Stop::usage("https:// needs --authority, whom to trust")),
+        (true, Some(authority)) => {
+            let own = match (&args.certificate, &args.certificate_key) {
+                (Some(chain), Some(key)) => Some((read(chain)?, zeroize::Zeroizing::new(read(key)?))),
+                _ => None,
+            };
+            let identity = own.as_ref().map(|(chain, key)| Identity { chain, key });
+            let name = args.name.clone().unwrap_or_else(|| at.ip().to_string());
+            let tls = ClientTls::new(&read(authority)?, &name, identity);
+            Some(tls.map_err(|e| Stop::usage(format!("TLS cannot be set up: {e}")))?)
+        }
+    };
+    Ok((To { at, tls }, path))
+}
+
+/// Posts one and prints what came back; exit 1 unless it was served.
+pub fn run(args: &Args) -> Result<(), Stop> {
+    let (to, path) = receiver(args)?;
     let key = read_key(&args.key_file).map_err(|(what, right)| Stop::usage(format!("{what}; {right}")))?;
     if let Some(folder) = &args.from {
         let deadline = Duration::from_millis(args.deadline_ms);
--- a/crates/badgerwind-cli/tests/rig/mod.rs
+++ b/crates/badgerwind-cli/tests/rig/mod.rs
@@ -47,6 +47,10 @@
     pub control: Option<(String, Vec<SocketAddr>)>,
     /// Has this folder, which another had before.
     pub folder: Option<tempfile::TempDir>,
+    /// The stand-in runners are met under TLS.
+    pub runner_tls: Option<badgerwind_http::ServerTls>,
+    /// Further files in its folder, for its owner's eyes.
+    pub files: Vec<(&'static str, String)>,
     /// Begins with this text where the last list should be.
     pub garbled: Option<&'static str>,
 }
@@ -77,6 +81,8 @@
             cached: None,
             garbled: None,
             process: false,
+            runner_tls: None,
+            files: vec![],
             fenced: false,
             control: None,
             folder: None,
@@ -177,6 +183,12 @@
     }
 }
 
+pub fn write_private(path: &Path, text: &str) {
+    std::fs::write(path, text).unwrap();
+    let mode = std::os::unix::fs::PermissionsExt::from_mode(0o600);
+    std::fs::set_permissions(path, mode).unwrap();
+}
+
 impl Rig {
     pub async fn start(plan: Plan) -> Rig {
         let (old, folder) = match plan.folder {
@@ -216,6 +228,7 @@
                 group: Some(group.clone()),
                 fenced: plan.fenced.then(|| ledger.clone()),
                 recorder,
+                tls: plan.runner_tls.clone(),
             };
             tasks.push(smol::spawn(runner::serve(listener, options)));
             runners.push(listed(id, address, State::Ready));
@@ -229,6 +242,9 @@
                 std::fs::write(folder.path().join("list.json"), serde_json::to_vec(&list).unwrap()).unwrap();
             }
         }
+        for (name, text) in &plan.files {
+            write_private(&folder.path().join(name), text);
+        }
         if let Some(text) = plan.garbled {
             std::fs::write(folder.path().join("list.json"), text).unwrap();
         }
--- /dev/null
+++ b/crates/badgerwind-cli/tests/tls.rs
@@ -0,0 +1,155 @@
+//! The whole way under TLS: senders to the gateway, the gateway to runners, certificates exchanged while serving.
+
+mod rig;
+
+use badgerwind_cli::send::{post, Message, To};
+use badgerwind_http::{ClientTls, Identity, ServerTls};
+use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
+use rig::*;
+use std::time::Duration;
+
+struct Authority {
+    pem: String,
+    issuer: Issuer<'static, KeyPair>,
+}
+
+impl Authority {
+    fn new() -> Self {
+        let key = KeyPair::generate().unwrap();
+        let mut params = CertificateParams::new(Vec::<String>::new()).unwrap();
+        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+        let pem = params.self_signed(&key).unwrap().pem();
+        Authority { pem, issuer: Issuer::new(params, key) }
+    }
+    fn sign(&self, name: &str) -> (String, String) {
+        let key = KeyPair::generate().unwrap();
+        let params = CertificateParams::new(vec![name.to_owned()]).unwrap();
+        (params.signed_by(&key, &self.issuer).unwrap().pem(), key.serialize_pem())
+    }
+    fn serves(&self, name: &str, clients: bool) -> ServerTls {
+        let (chain, key) = self.sign(name);
+        let identity = Identity { chain: chain.as_bytes(), key: key.as_bytes() };
+        ServerTls::new(identity, clients.then_some(self.pem.as_bytes())).unwrap()
+    }
+    fn trusted(&self, name: &str) -> ClientTls {
+        ClientTls::new(self.pem.as_bytes(), name, None).unwrap()
+    }
+}
+
+async fn send(rig: &Rig, tls: Option<ClientTls>, id: &str) -> Result<u16, String> {
+    let deadline = Duration::from_secs(10);
+    let body = br#"{"work_us": 1000, "mean_us": 1000}"#.to_vec();
+    let message = Message { id, path: LODGE, deadline, retry: false, callback: None, body };
+    let (head, _) = post(To { at: rig.to, tls }, &rig.key, message).await?;
+    Ok(head.status)
+}
+
+const RUNNERS: &str = r#"<runners key-file="runners.key"/>"#;
+const RUNNERS_TLS: &str = r#"<runners key-file="runners.key"><tls authority="ca.pem" name="runner.test" certificate="own.pem" key-file="own.key"/></runners>"#;
+const SENDERS_TLS: &str =
+    "<tls certificate=\"front.pem\" key-file=\"front.key\"/>\n    <route path=\"/check\"";
+
+fn plan(authority: &Authority, own: (String, String)) -> Plan {
+    let front = authority.sign("front.test");
+    Plan {
+        edits: vec![("<route path=\"/check\"", SENDERS_TLS.into()), (RUNNERS, RUNNERS_TLS.into())],
+        runner_tls: Some(authority.serves("runner.test", true)),
+        files: vec![
+            ("ca.pem", authority.pem.clone()),
+            ("front.pem", front.0),
+            ("front.key", front.1),
+            ("own.pem", own.0),
+            ("own.key", own.1),
+        ],
+        ..Plan::default()
+    }
+}
+
+#[test]
+fn a_lodgement_goes_the_whole_way_under_tls_with_both_ends_known() {
+    smol::block_on(async {
+        let authority = Authority::new();
+        let rig = Rig::start(plan(&authority, authority.sign("front.test"))).await;
+        let tls = || Some(authority.trusted("front.test"));
+        for n in 0..5 {
+            assert_eq!(send(&rig, tls(), &format!("m{n}")).await, Ok(200));
+        }
+        assert_eq!(send(&rig, tls(), "m0").await, Ok(200), "replayed");
+        assert!(send(&rig, None, "m9").await.is_err(), "without TLS nothing is answered");
+        assert!(send(&rig, Some(Authority::new().trusted("front.test")), "m9").await.is_err());
+        assert_eq!((rig.arrived(), rig.finished()), (5, 5));
+        let (_, text) = rig.get("/metrics").await;
+        assert!(text.contains("turned_away_total{reason=\"handshake\"}"), "{text}");
+    });
+}
+
+#[test]
+fn runners_that_do_not_know_this_front_end_run_nothing_of_it() {
+    smol::block_on(async {
+        let (authority, other) = (Authority::new(), Authority::new());
+        let rig = Rig::start(plan(&authority, other.sign("front.test"))).await;
+        let got = send(&rig, Some(authority.trusted("front.test")), "m1").await.unwrap();
+        // Under TLS 1.3 the refusal can come after the request was written: then it is in doubt, and told so.
+        assert!(got == 502 || got == 503, "{got}");
+        assert_eq!(rig.arrived(), 0);
+    });
+}
+
+#[test]
+fn certificates_are_exchanged_while_serving_and_bad_ones_change_nothing() {
+    smol::block_on(async {
+        let (old, new) = (Authority::new(), Authority::new());
+        let rig = Rig::start(plan(&old, old.sign("front.test"))).await;
+        let reload = rig.running.as_ref().unwrap().reloader();
+        let (from_old, from_new) = (|| Some(old.trusted("front.test")), || Some(new.trusted("front.test")));
+        assert_eq!(send(&rig, from_old(), "m1").await, Ok(200));
+        let file = |name: &str| rig.folder.path().join(name);
+        let (chain, key) = new.sign("front.test");
+        write_private(&file("front.pem"), &chain);
+        let problems = reload().unwrap_err();
+        let told = problems[0].to_string();
+        assert!(told.contains("<tls>") && told.contains("TLS cannot be set up"), "{told}");
+        assert_eq!(send(&rig, from_old(), "m2").await, Ok(200), "as before");
+        write_private(&file("front.key"), &key);
+        reload().unwrap();
+        assert!(send(&rig, from_old(), "m3").await.is_err());
+        assert_eq!(send(&rig, from_new(), "m3").await, Ok(200));
+        assert_eq!(rig.arrived(), 3);
+    });
+}
+
+#[test]
+fn the_sending_program_speaks_it_and_says_what_is_missing() {
+    smol::block_on(async {
+        let authority = Authority::new();
+        let rig = Rig::start(plan(&authority, authority.sign("front.test"))).await;
+        let run = async |args: &[&str]| {
+            let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_badgerwind"));
+            command.current_dir(rig.folder.path()).args([
+                "send",
+                "--key-file",
+                "portal.key",
+                "--body",
+                "body.json",
+            ]);
+            command.args(args);
+            let out = smol::unblock(move || command.output().unwrap()).await;
+            let all = [out.stdout, out.stderr].concat();
+            (out.status.code(), String::from_utf8(all).unwrap())
+        };
+        std::fs::write(rig.folder.path().join("body.json"), r#"{"work_us": 1000, "mean_us": 1000}"#).unwrap();
+        let to = format!("https://{}/lodge", rig.to);
+        let (code, text) = run(&["--to", &to, "--authority", "ca.pem", "--name", "front.test"]).await;
+        assert!(code == Some(0) && text.contains(": 200 in "), "{code:?} {text}");
+        let (code, text) = run(&["--to", &to, "--authority", "ca.pem"]).await;
+        assert!(
+            code == Some(1) && text.contains("TLS: "),
+            "no certificate bears the address: {code:?} {text}"
+        );
+        let (code, text) = run(&["--to", &to]).await;
+        assert!(code == Some(2) && text.contains("--authority"), "{code:?} {text}");
+        let (code, text) = run(&["--to", &to, "--authority", "portal.key"]).await;
+        assert!(code == Some(2) && text.contains("no certificate in PEM form"), "{code:?} {text}");
+        assert_eq!(rig.arrived(), 1);
+    });
+}
--- a/crates/badgerwind-gateway/src/control.rs
+++ b/crates/badgerwind-gateway/src/control.rs
@@ -267,8 +267,14 @@
                 module = number;
             }
             // New calls come under the new rules only now, when the module that knows their classes takes them.
-            me.runners.change(settings.clone(), secrets.runners);
-            me.front.change(Rules { settings, rings: secrets.rings, callbacks: secrets.callbacks, module });
+            me.runners.change(settings.clone(), secrets.runners, secrets.runners_tls);
+            me.front.change(Rules {
+                settings,
+                rings: secrets.rings,
+                callbacks: secrets.callbacks,
+                tls: secrets.senders_tls,
+                module,
+            });
             tracing::info!(ticket, "settings changed");
             let _ = tell.send(Told::Input(Input::Applied { ticket })).await;
         })
--- a/crates/badgerwind-gateway/src/front.rs
+++ b/crates/badgerwind-gateway/src/front.rs
@@ -15,11 +15,11 @@
 use badgerwind_config::shadow::Recorded;
 use badgerwind_driver::{Call, Final};
 use badgerwind_guard::{forwarded, Budget, Guard, Permit, Source, Who};
-use badgerwind_http::{Conn, Limits, RequestHead, Response};
+use badgerwind_http::{Conn, Limits, RequestHead, Response, ServerTls, Stream};
 use badgerwind_settings::{Settings, Target};
 use badgerwind_webhook::{Admission, Bounds, Claim, Digest, Ending, Key, KeyRing, Replay, Skew, VerifyError};
 use futures_lite::FutureExt;
-use smol::net::{TcpListener, TcpStream};
+use smol::net::TcpListener;
 use smol::Timer;
 use std::collections::VecDeque;
 use std::net::IpAddr;
@@ -52,6 +52,8 @@
     pub rings: Vec<KeyRing>,
     /// What signs callbacks, by sender's and callback's place.
     pub callbacks: Vec<Vec<Key>>,
+    /// How senders are met, where under TLS.
+    pub tls: Option<ServerTls>,
     /// The module that knows the settings' classes and tenants.
     pub module: u64,
 }
@@ -356,12 +358,24 @@
                 }
             };
             let _ = stream.set_nodelay(true); // only a delay is lost where it is not to be had
-            let limits = limits(&self.rules().settings);
+            let rules = self.rules();
+            let limits = limits(&rules.settings);
+            let tls = rules.tls.clone();
             let front = self.clone();
             self.open.fetch_add(1, Ordering::Relaxed);
             smol::spawn(async move {
                 front.metrics.connections.inc();
-                front.connection(Conn::new(stream, Arc::new(limits)), peer).await;
+                let stream = match tls {
+                    None => Ok(stream.into()),
+                    Some(tls) => tls.accept(stream, limits.head_time).await,
+                };
+                match stream {
+                    Ok(stream) => front.connection(Conn::new(stream, Arc::new(limits)), peer).await,
+                    Err(e) => {
+                        front.metrics.turned_away("handshake");
+                        tracing::debug!(source = %peer, "no handshake: {e}");
+                    }
+                }
                 front.metrics.connections.dec();
                 front.open.fetch_sub(1, Ordering::Relaxed);
                 let _ = front.freed.try_send(());
@@ -370,7 +384,7 @@
         }
     }
 
-    async fn connection(self: &Arc<Self>, mut conn: Conn<TcpStream>, peer: IpAddr) {
+    async fn connection(self: &Arc<Self>, mut conn: Conn<Stream>, peer: IpAddr) {
         loop {
             let head = match conn.head().await {
                 Ok(Some(head)) => head,
@@ -417,7 +431,7 @@
         }
     }
 
-    async fn refuse_wire(&self, mut conn: Conn<TcpStream>, e: badgerwind_http::ServeError) {
+    async fn refuse_wire(&self, mut conn: Conn<Stream>, e: badgerwind_http::ServeError) {
         if let Some(status) = e.status() {
             self.metrics.turned_away("malformed");
             let _ = conn.respond(&problem(&away(status, "malformed", e.to_string())), false).await;
@@ -516,7 +530,7 @@
 
     async fn message(
         self: &Arc<Self>,
-        conn: &mut Conn<TcpStream>,
+        conn: &mut Conn<Stream>,
         rules: &Arc<Rules>,
         head: &RequestHead,
         (route, function): (usize, usize),
@@ -755,7 +769,7 @@
 
 /// Passes a streamed answer on. One that breaks off is broken off towards the sender too, without its last chunk.
 async fn stream(
-    conn: &mut Conn<TcpStream>,
+    conn: &mut Conn<Stream>,
     response: &Response,
     rest: Receiver<Vec<u8>>,
     keep: bool,
--- a/crates/badgerwind-gateway/src/runners.rs
+++ b/crates/badgerwind-gateway/src/runners.rs
@@ -6,7 +6,7 @@
 use badgerwind_attempts::Fence;
 use badgerwind_driver::{AttemptEnd, CallOff};
 use badgerwind_http::client::Answer;
-use badgerwind_http::{Exchange, ExchangeError, Pool, PoolBounds, ResponseHead};
+use badgerwind_http::{ClientTls, Exchange, ExchangeError, Pool, PoolBounds, ResponseHead};
 use badgerwind_protocol::list;
 use badgerwind_protocol::runner::{self, LoadAnswer, LoadOrder, LoadParameters};
 use badgerwind_settings::Settings;
@@ -29,6 +29,7 @@
 pub(crate) struct Runners {
     settings: RwLock<Arc<Settings>>,
     key: RwLock<Key>,
+    tls: RwLock<Option<ClientTls>>,
     clock: crate::clock::Clock,
     pools: Mutex<HashMap<WorkerId, Arc<Pool>>>,
 }
@@ -42,14 +43,30 @@
 }
 
 impl Runners {
-    pub(crate) fn new(settings: Arc<Settings>, key: Key, clock: crate::clock::Clock) -> Self {
-        Runners { settings: RwLock::new(settings), key: RwLock::new(key), clock, pools: Mutex::default() }
+    pub(crate) fn new(
+        settings: Arc<Settings>,
+        key: Key,
+        tls: Option<ClientTls>,
+        clock: crate::clock::Clock,
+    ) -> Self {
+        let (settings, key, tls) = (RwLock::new(settings), RwLock::new(key), RwLock::new(tls));
+        Runners { settings, key, tls, clock, pools: Mutex::default() }
     }
 
-    /// Other settings and another key from now on; calls already taken keep the settings they came under.
-    pub(crate) fn change(&self, settings: Arc<Settings>, key: Key) {
+    /// Other settings, another key and other certificates from now on; calls already taken keep the settings that
+    /// they came under.
+    pub(crate) fn change(&self, settings: Arc<Settings>, key: Key, tls: Option<ClientTls>) {
         let bounds = bounds(&settings);
-        self.pools().values().for_each(|p| p.set_bounds(bounds));
+        let mut now = self.tls.write().unwrap_or_else(PoisonError::into_inner);
+        let under_tls = now.is_some() || tls.is_some();
+        for pool in self.pools().values() {
+            pool.set_bounds(bounds);
+            if under_tls {
+                pool.set_tls(tls.clone());
+            }
+        }
+        *now = tls;
+        drop(now);
         *self.settings.write().unwrap_or_else(PoisonError::into_inner) = settings;
         *self.key.write().unwrap_or_else(PoisonError::into_inner) = key;
     }
@@ -65,11 +82,14 @@
     /// Takes in where runners listen. One that is gone keeps its place: attempts to it may still be out.
     pub(crate) fn listed(&self, list: &list::List) {
         let bounds = bounds(&self.settings());
+        let tls = self.tls.read().unwrap_or_else(PoisonError::into_inner);
         let mut pools = self.pools();
         for r in &list.runners {
             let known = pools.get(&r.id).is_some_and(|p| p.address() == r.address);
             if !known {
-                pools.insert(r.id, Arc::new(Pool::new(r.address, bounds)));
+                let pool = Pool::new(r.address, bounds);
+                pool.set_tls(tls.clone());
+                pools.insert(r.id, Arc::new(pool));
             } else if r.state == list::State::Gone {
                 pools[&r.id].close_idle();
             }
--- a/crates/badgerwind-gateway/src/serve.rs
+++ b/crates/badgerwind-gateway/src/serve.rs
@@ -119,7 +119,7 @@
     let (report, inputs) = async_channel::bounded(INPUTS);
     let (control, controls) = async_channel::bounded(4);
     let (ask_list, list_calls) = async_channel::bounded(64);
-    let runners = Arc::new(Runners::new(settings.clone(), secrets.runners, clock));
+    let runners = Arc::new(Runners::new(settings.clone(), secrets.runners, secrets.runners_tls, clock));
     let mut tasks = Vec::new();
     let peers = match (&settings.peers, secrets.peers) {
         (Some(p), Some(key)) => {
@@ -172,8 +172,13 @@
         .map_err(ServeError::Thread)?;
 
     let (freed, free) = async_channel::bounded(1);
-    let rules =
-        Rules { settings: settings.clone(), rings: secrets.rings, callbacks: secrets.callbacks, module: 0 };
+    let rules = Rules {
+        settings: settings.clone(),
+        rings: secrets.rings,
+        callbacks: secrets.callbacks,
+        tls: secrets.senders_tls,
+        module: 0,
+    };
     let front = Arc::new(Front {
         rules: RwLock::new(Arc::new(rules)),
         recent: Mutex::default(),
@@ -252,11 +257,12 @@
         move || {
             let rules = front.rules();
             let secrets = crate::secrets::load("settings", &folder, &rules.settings)?;
-            runners.change(rules.settings.clone(), secrets.runners);
+            runners.change(rules.settings.clone(), secrets.runners, secrets.runners_tls);
             front.change(Rules {
                 settings: rules.settings.clone(),
                 rings: secrets.rings,
                 callbacks: secrets.callbacks,
+                tls: secrets.senders_tls,
                 module: rules.module,
             });
             Ok(())
--- a/crates/badgerwind-http/src/client.rs
+++ b/crates/badgerwind-http/src/client.rs
@@ -3,6 +3,7 @@
 
 use crate::body::Body;
 use crate::head::{self, Framing, ResponseHead};
+use crate::tls::{ClientTls, Stream};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt, FutureExt};
 use smol::net::TcpStream;
 use smol::Timer;
@@ -63,7 +64,7 @@
 
 #[derive(Debug)]
 struct Idle {
-    stream: TcpStream,
+    stream: Stream,
     since: Instant,
 }
 
@@ -79,6 +80,8 @@
 pub struct Pool {
     address: SocketAddr,
     bounds: Mutex<PoolBounds>,
+    /// How connections are made from now on; `None`: as they are.
+    tls: Mutex<Option<ClientTls>>,
     inside: Mutex<Inside>,
 }
 
@@ -94,7 +97,13 @@
 impl Pool {
     /// A pool with no connection yet.
     pub fn new(address: SocketAddr, bounds: PoolBounds) -> Self {
-        Pool { address, bounds: Mutex::new(bounds), inside: Mutex::default() }
+        Pool { address, bounds: Mutex::new(bounds), tls: Mutex::default(), inside: Mutex::default() }
+    }
+
+    /// Connections are made under TLS, or not, from now on; idle ones of before are closed.
+    pub fn set_tls(&self, tls: Option<ClientTls>) {
+        *self.tls.lock().unwrap_or_else(PoisonError::into_inner) = tls;
+        self.close_idle();
     }
 
     /// The server's address.
@@ -128,7 +137,7 @@
     }
 
     /// An idle connection that is still good, or a new one.
-    async fn connection(&self) -> Result<(TcpStream, Place<'_>), ExchangeError> {
+    async fn connection(&self) -> Result<(Stream, Place<'_>), ExchangeError> {
         loop {
             let idle = self.lock().idle.pop();
             let Some(Idle { mut stream, since }) = idle else { break };
@@ -155,12 +164,19 @@
         };
         let late = async {
             Timer::after(self.bounds().connect_time).await;
-            Err(std::io::ErrorKind::TimedOut.into())
+            Err(ExchangeError::Connect(std::io::Error::from(std::io::ErrorKind::TimedOut).to_string()))
+        };
+        let tls = self.tls.lock().unwrap_or_else(PoisonError::into_inner).clone();
+        let made = async {
+            let stream = TcpStream::connect(self.address).await;
+            let stream = stream.map_err(|e| ExchangeError::Connect(e.to_string()))?;
+            let _ = stream.set_nodelay(true); // only a delay is lost where it is not to be had
+            match tls {
+                None => Ok(stream.into()),
+                Some(tls) => tls.connect(stream).await,
+            }
         };
-        let made = TcpStream::connect(self.address).or(late).await;
-        let stream = made.map_err(|e| ExchangeError::Connect(e.to_string()))?;
-        let _ = stream.set_nodelay(true); // only a delay is lost where it is not to be had
-        Ok((stream, place))
+        Ok((made.or(late).await?, place))
     }
 
     /// Sends a request and reads the answer whole.
@@ -176,6 +192,7 @@
         let (mut stream, place) = self.connection().await?;
         let broke = |e: std::io::Error| ExchangeError::Reset(e.to_string());
         stream.write_all(&request.bytes(self.address)).await.map_err(broke)?;
+        stream.flush().await.map_err(broke)?;
         let mut buf = Vec::new();
         loop {
             let read = head::response(&buf, 64 * 1024, request.method == "HEAD");
@@ -195,7 +212,7 @@
     }
 }
 
-async fn fill(stream: &mut TcpStream, buf: &mut Vec<u8>) -> Result<bool, ExchangeError> {
+async fn fill(stream: &mut Stream, buf: &mut Vec<u8>) -> Result<bool, ExchangeError> {
     let mut piece = vec![0u8; 4096]; // on the heap: a call under way holds one
     let n = stream.read(&mut piece).await.map_err(|e| ExchangeError::Reset(e.to_string()))?;
     buf.extend_from_slice(&piece[..n]);
@@ -208,7 +225,7 @@
     pub head: ResponseHead,
     body: Body,
     buf: Vec<u8>,
-    stream: TcpStream,
+    stream: Stream,
     place: Place<'a>,
 }
 
--- a/crates/badgerwind-http/src/lib.rs
+++ b/crates/badgerwind-http/src/lib.rs
@@ -4,13 +4,16 @@
 //! - [`head`], [`body`]: bytes to heads and bodies; no I/O.
 //! - [`server`]: one connection of a client, requests answered in order.
 //! - [`client`]: connections to one server, pooled and bounded.
+//! - [`tls`]: TLS under either.
 
 pub mod body;
 pub mod client;
 pub mod head;
 pub mod server;
+pub mod tls;
 
 pub use body::{Body, BodyError};
 pub use client::{Exchange, ExchangeError, Pool, PoolBounds};
 pub use head::{Framing, HeadError, RequestHead, ResponseHead};
 pub use server::{Conn, Limits, Response, ServeError};
+pub use tls::{ClientTls, Identity, ServerTls, Stream, TlsError};
--- a/crates/badgerwind-http/src/server.rs
+++ b/crates/badgerwind-http/src/server.rs
@@ -212,6 +212,7 @@
         within(limits.body_time, "body", async {
             if head.expects_continue() && !body.is_done() && self.buf.is_empty() {
                 self.stream.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await?;
+                self.stream.flush().await?;
             }
             loop {
                 let used = body.take(&self.buf, &mut out)?;
@@ -242,9 +243,13 @@
     /// Writes an answer; `keep`: the connection goes on after it.
     pub async fn respond(&mut self, response: &Response, keep: bool) -> Result<(), ServeError> {
         let head = head_bytes(response.status, &response.headers, Some(response.body.len()), keep);
+        self.write(&[&head[..], &response.body].concat()).await // one segment where it fits
+    }
+
+    async fn write(&mut self, bytes: &[u8]) -> Result<(), ServeError> {
         within(self.limits.write_time, "answer's writing", async {
-            let whole = [&head[..], &response.body].concat(); // one segment where it fits
-            Ok(self.stream.write_all(&whole).await?)
+            self.stream.write_all(bytes).await?;
+            Ok(self.stream.flush().await?) // TLS keeps bytes back until then
         })
         .await
     }
@@ -257,8 +262,7 @@
         keep: bool,
     ) -> Result<(), ServeError> {
         let head = head_bytes(status, headers, None, keep);
-        within(self.limits.write_time, "answer's writing", async { Ok(self.stream.write_all(&head).await?) })
-            .await
+        self.write(&head).await
     }
 
     /// Writes a piece of a streamed answer; an empty one ends it.
@@ -266,8 +270,7 @@
         let mut bytes = format!("{:x}\r\n", piece.len()).into_bytes();
         bytes.extend_from_slice(piece);
         bytes.extend_from_slice(b"\r\n");
-        within(self.limits.write_time, "answer's writing", async { Ok(self.stream.write_all(&bytes).await?) })
-            .await
+        self.write(&bytes).await
     }
 
     /// Closes the writing side, then reads on for a moment: a close with bytes unread would reset the connection
--- a/crates/badgerwind-settings/src/read.rs
+++ b/crates/badgerwind-settings/src/read.rs
@@ -222,6 +222,7 @@
             answer_bytes: runners.size("answer-bytes"),
             call_off_time: runners.span("call-off-time"),
             probe_time: runners.span("probe-time"),
+            tls: runners.one("tls").map(|t| runner_tls(r, &t)),
         },
         list: List {
             address: list.address("address"),
@@ -364,6 +365,20 @@
     Sender { name: s.string("name"), tenant, tolerance: s.span("tolerance") / 1_000_000, secrets, callbacks }
 }
 
+fn runner_tls(r: &mut Reading, t: &Checked<'_>) -> RunnerTls {
+    let identity = match (t.opt("certificate"), t.opt("key-file")) {
+        (Some(chain), Some(key)) => Some((PathBuf::from(chain), PathBuf::from(key))),
+        (None, None) => None,
+        _ => {
+            let what = "certificate and key-file stand one without the other".into();
+            r.add(t, what, "give both, or neither where runners ask for none");
+            None
+        }
+    };
+    let (authority, name) = (PathBuf::from(t.text("authority")), t.string("name"));
+    RunnerTls { authority, name, identity, line: t.line() }
+}
+
 fn guard(g: &Checked<'_>) -> Guard {
     let pair = |burst, rate| (g.whole(burst) as u32, g.whole(rate) as u32);
     Guard {
@@ -420,6 +435,12 @@
         remember_bytes: w.size("remember-bytes"),
         waiters: w.size("waiters"),
         guard: guard(&w.or_default("guard")),
+        tls: w.one("tls").map(|t| Tls {
+            certificate: PathBuf::from(t.text("certificate")),
+            key_file: PathBuf::from(t.text("key-file")),
+            clients: t.opt("clients").map(PathBuf::from),
+            line: t.line(),
+        }),
         senders,
         routes,
     }
--- a/crates/badgerwind-settings/src/schema.rs
+++ b/crates/badgerwind-settings/src/schema.rs
@@ -368,6 +368,27 @@
     ],
     children: &[any(&BALANCER)],
 };
+const TLS: Element = Element {
+    name: "tls",
+    doc: "Senders are met under TLS. Files are PEM; they are read again on SIGHUP.",
+    attrs: &[
+        must("certificate", Kind::File, "The chain, this end's own first."),
+        must("key-file", Kind::File, "Its private key, readable by its owner alone."),
+        may("clients", Kind::File, "Senders must show a certificate of one of these authorities."),
+    ],
+    children: &[],
+};
+const RUNNER_TLS: Element = Element {
+    name: "tls",
+    doc: "Runners are met under TLS. Files are PEM; they are read again on SIGHUP.",
+    attrs: &[
+        must("authority", Kind::File, "The authorities whose certificates are trusted."),
+        must("name", Kind::Name, "The name that every runner's certificate bears."),
+        may("certificate", Kind::File, "This end's own chain, for runners that ask for one."),
+        may("key-file", Kind::File, "Its private key, readable by its owner alone."),
+    ],
+    children: &[],
+};
 const WEBHOOK: Element = Element {
     name: "webhook",
     doc: "The front for signed webhooks.",
@@ -397,7 +418,7 @@
         or("remember-bytes", Kind::Whole(1024, 1 << 36), "67108864", "Bytes of answers remembered at once."),
         or("waiters", Kind::Whole(1, 10_000), "16", "Repeats that may wait for one answer."),
     ],
-    children: &[some(&SENDER), some(&ROUTE), maybe(&GUARD)],
+    children: &[some(&SENDER), some(&ROUTE), maybe(&GUARD), maybe(&TLS)],
 };
 const RUNNERS: Element = Element {
     name: "runners",
@@ -416,7 +437,7 @@
         ),
         or("probe-time", Kind::Time(1000, MINUTE), "250ms", "A probe not answered by then has failed."),
     ],
-    children: &[],
+    children: &[maybe(&RUNNER_TLS)],
 };
 const REPORT: Element = Element {
     name: "report",
--- a/crates/badgerwind-settings/src/typed.rs
+++ b/crates/badgerwind-settings/src/typed.rs
@@ -86,6 +86,8 @@
     pub waiters: usize,
     /// Budgets for messages whose signature fails.
     pub guard: Guard,
+    /// Senders are met under TLS.
+    pub tls: Option<Tls>,
     /// The senders.
     pub senders: Vec<Sender>,
     /// The routes.
@@ -109,6 +111,32 @@
     pub balancers: Vec<IpAddr>,
 }
 
+/// TLS towards senders; all files are PEM.
+#[derive(Clone, Debug)]
+pub struct Tls {
+    /// The chain, the own certificate first.
+    pub certificate: PathBuf,
+    /// Its private key.
+    pub key_file: PathBuf,
+    /// Authorities of which senders must show a certificate.
+    pub clients: Option<PathBuf>,
+    /// The line that names them.
+    pub line: usize,
+}
+
+/// TLS towards runners; all files are PEM.
+#[derive(Clone, Debug)]
+pub struct RunnerTls {
+    /// Authorities that are trusted.
+    pub authority: PathBuf,
+    /// The name that every runner's certificate bears.
+    pub name: String,
+    /// The own chain and its private key.
+    pub identity: Option<(PathBuf, PathBuf)>,
+    /// The line that names them.
+    pub line: usize,
+}
+
 /// A sender of webhooks.
 #[derive(Clone, Debug)]
 pub struct Sender {
@@ -195,6 +223,8 @@
     pub call_off_time: Span,
     /// A probe not answered by then has failed.
     pub probe_time: Span,
+    /// Runners are met under TLS.
+    pub tls: Option<RunnerTls>,
 }
 
 /// The service that lists runners.
--- a/crates/badgerwind-standins/src/lib.rs
+++ b/crates/badgerwind-standins/src/lib.rs
@@ -12,8 +12,8 @@
 pub mod share;
 pub mod store;
 
-use badgerwind_http::{Conn, Exchange, Pool, PoolBounds, Response};
-use smol::net::{TcpListener, TcpStream};
+use badgerwind_http::{Conn, Exchange, Pool, PoolBounds, Response, ServerTls, Stream};
+use smol::net::TcpListener;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -25,7 +25,8 @@
 /// Accepts connections for ever and hands each to `serve`.
 async fn accept<F: Future<Output = ()> + Send + 'static>(
     listener: TcpListener,
-    serve: impl Fn(Conn<TcpStream>) -> F,
+    tls: Option<ServerTls>,
+    serve: impl Fn(Conn<Stream>) -> F + Clone + Send + 'static,
 ) {
     let limits = Arc::new(badgerwind_http::Limits {
         idle_time: Duration::from_secs(300),
@@ -40,10 +41,16 @@
             continue;
         };
         let _ = stream.set_nodelay(true); // only a delay is lost where it is not to be had
-        let served = serve(Conn::new(stream, limits.clone()));
+        let (serve, limits, tls) = (serve.clone(), limits.clone(), tls.clone());
         smol::spawn(async move {
             let _place = place;
-            served.await;
+            let stream = match tls {
+                None => Ok(stream.into()),
+                Some(tls) => tls.accept(stream, limits.head_time).await,
+            };
+            if let Ok(stream) = stream {
+                serve(Conn::new(stream, limits)).await;
+            }
         })
         .detach();
     }
--- a/crates/badgerwind-standins/src/list.rs
+++ b/crates/badgerwind-standins/src/list.rs
@@ -5,10 +5,10 @@
 
 use crate::record::{now, Recorder};
 use badgerwind_check::{State as Seen, What};
-use badgerwind_http::{Conn, Response};
+use badgerwind_http::{Conn, Response, Stream};
 use badgerwind_protocol::list::{List, Runner, State};
 use serde::{Deserialize, Serialize};
-use smol::net::{TcpListener, TcpStream};
+use smol::net::TcpListener;
 use std::collections::BTreeMap;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
@@ -67,7 +67,7 @@
         Some(List { version, whole, runners })
     }
 
-    async fn serve(&self, mut conn: Conn<TcpStream>) {
+    async fn serve(&self, mut conn: Conn<Stream>) {
         while let Ok(Some(head)) = conn.head().await {
             let Ok(body) = conn.body(&head).await else { return };
             let response = match (head.method.as_str(), head.path()) {
@@ -139,7 +139,7 @@
     let runners = runners.into_iter().map(|r| (r.id, (r, 1))).collect();
     let inner = Inner { version: 1, lag_us: 0, runners, coming: Vec::new() };
     let server = Arc::new(Server { inner: Mutex::new(inner), recorder });
-    crate::accept(listener, |conn| {
+    crate::accept(listener, None, move |conn| {
         let server = server.clone();
         async move { server.serve(conn).await }
     })
--- a/crates/badgerwind-standins/src/runner.rs
+++ b/crates/badgerwind-standins/src/runner.rs
@@ -10,11 +10,11 @@
 use badgerwind::interface::{CopyMark, Outcome};
 use badgerwind_attempts::Fence;
 use badgerwind_check::What;
-use badgerwind_http::{Conn, Exchange, Pool, RequestHead, Response};
+use badgerwind_http::{Conn, Exchange, Pool, RequestHead, Response, ServerTls, Stream};
 use badgerwind_protocol::runner::{self, LoadAnswer, LoadOrder};
 use badgerwind_webhook::{KeyRing, ID, SIGNATURE, TIMESTAMP};
 use serde::{Deserialize, Serialize};
-use smol::net::{TcpListener, TcpStream};
+use smol::net::TcpListener;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
@@ -39,6 +39,8 @@
     pub fenced: Option<Fenced>,
     /// Where it writes down what it sees.
     pub recorder: Recorder,
+    /// It is met under TLS.
+    pub tls: Option<ServerTls>,
 }
 
 /// A group of runners of one process that share what keys they have seen.
@@ -112,6 +114,7 @@
     if options.cold {
         options.recorder.add(What::RunnerStarted { runner: options.id });
     }
+    let tls = options.tls.clone();
     let (nudge, nudged) = async_channel::bounded(1);
     let inner = Inner {
         model: Runner::new(now(), options.spec.clone(), options.cold),
@@ -136,7 +139,7 @@
             futures_lite::future::or(timer, async { _ = nudged.recv().await }).await;
         }
     });
-    crate::accept(listener, |conn| {
+    crate::accept(listener, tls, move |conn| {
         let server = server.clone();
         async move { server.connection(conn).await }
     })
@@ -238,7 +241,7 @@
         }
     }
 
-    async fn connection(self: Arc<Self>, mut conn: Conn<TcpStream>) {
+    async fn connection(self: Arc<Self>, mut conn: Conn<Stream>) {
         while let Ok(Some(head)) = conn.head().await {
             let Ok(body) = conn.body(&head).await else { return };
             let path = head.path().to_owned();
@@ -328,7 +331,7 @@
     /// A call, to its answer; `None` where the connection is to close.
     async fn call(
         self: &Arc<Self>,
-        conn: &mut Conn<TcpStream>,
+        conn: &mut Conn<Stream>,
         head: &RequestHead,
         function: &str,
         body: &[u8],
@@ -438,7 +441,7 @@
 
     async fn order(
         self: &Arc<Self>,
-        conn: &mut Conn<TcpStream>,
+        conn: &mut Conn<Stream>,
         head: &RequestHead,
         function: &str,
         body: &[u8],
--- a/crates/badgerwind-standins/src/store.rs
+++ b/crates/badgerwind-standins/src/store.rs
@@ -66,8 +66,8 @@
     use crate::fenced::{Asked, Said};
     use crate::record::now;
     use badgerwind_attempts::Ledger;
-    use badgerwind_http::Conn;
-    use smol::net::{TcpListener, TcpStream};
+    use badgerwind_http::{Conn, Stream};
+    use smol::net::TcpListener;
     use std::collections::HashMap;
     use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
     use std::time::Duration;
@@ -102,7 +102,7 @@
             inner.store.next()
         }
 
-        async fn serve(&self, mut conn: Conn<TcpStream>) {
+        async fn serve(&self, mut conn: Conn<Stream>) {
             while let Ok(Some(head)) = conn.head().await {
                 let Ok(body) = conn.body(&head).await else { return };
                 if head.path() == "/ledger" {
@@ -188,7 +188,7 @@
                 futures_lite::future::or(timer, async { _ = nudged.recv().await }).await;
             }
         });
-        crate::accept(listener, |conn| {
+        crate::accept(listener, None, move |conn| {
             let server = server.clone();
             async move { server.serve(conn).await }
         })
