keys rotate and retire; SIGHUP takes secrets over from the settings file

Need: a rotation meant editing XML by hand and a restart, and the last key could be retired by a slip. Change: an editor of secrets in the text of a document (no I/O, everything else byte for byte), keys rotate and retire on top; the changed file is checked before it takes the old one's place. SIGHUP reads the settings file too and takes over what names keys, all or none.

--- a/crates/badgerwind-cli/examples/blind_to_drains.rs
+++ b/crates/badgerwind-cli/examples/blind_to_drains.rs
@@ -22,7 +22,7 @@
     let served = load(&args.settings).and_then(|(settings, secrets, folder)| {
         let mut options = Options::new(Arc::new(settings), secrets, folder);
         options.list_filter = Some(blind);
-        serve_with(options, args.ready_file.as_deref())
+        serve_with(options, args.ready_file.as_deref(), None)
     });
     match served {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/badgerwind-cli/src/keys.rs
+++ b/crates/badgerwind-cli/src/keys.rs
@@ -21,6 +21,39 @@
         #[arg(long)]
         public_out: Option<PathBuf>,
     },
+    /// Give a sender a new key beside its old ones, which count for some days more; the settings file is changed
+    Rotate {
+        /// The settings file
+        #[arg(long)]
+        settings: PathBuf,
+        /// The sender
+        #[arg(long)]
+        sender: String,
+        /// The new key's name in logs; the day where it is left out
+        #[arg(long)]
+        name: Option<String>,
+        /// For how long the old keys count, such as 7d or 2h
+        #[arg(long, default_value = "7d")]
+        overlap: String,
+        /// What kind of key
+        #[arg(long, value_enum, default_value = "shared")]
+        kind: Kind,
+        /// For ed25519: the file for the private half, which the sender signs with
+        #[arg(long)]
+        private_out: Option<PathBuf>,
+    },
+    /// Take a sender's key out of the settings file; its key file stays where it is
+    Retire {
+        /// The settings file
+        #[arg(long)]
+        settings: PathBuf,
+        /// The sender
+        #[arg(long)]
+        sender: String,
+        /// The key's name
+        #[arg(long)]
+        name: String,
+    },
     /// List the keys that a settings file names, by name, kind and time; never their bytes
     List {
         /// The settings file
@@ -43,6 +76,10 @@
     let (kind, out, public_out) = match command {
         Command::New { kind, out, public_out } => (kind, out, public_out),
         Command::List { settings } => return list(settings),
+        Command::Rotate { settings, sender, name, overlap, kind, private_out } => {
+            return rotate(settings, sender, name.as_deref(), overlap, (*kind, private_out.as_deref()));
+        }
+        Command::Retire { settings, sender, name } => return retire(settings, sender, name),
     };
     let kind = match kind {
         Kind::Shared if public_out.is_some() => {
@@ -59,6 +96,112 @@
     Ok(())
 }
 
+fn read(path: &Path) -> Result<String, Stop> {
+    std::fs::read_to_string(path).map_err(|e| Stop::usage(format!("cannot read {}: {e}", path.display())))
+}
+
+/// Checks a changed settings file beside the old one, then puts it in its place: a reader sees one or the other.
+fn replace(path: &Path, text: &str) -> Result<(), Stop> {
+    let beside = path.with_extension("new");
+    let write = |p: &Path| {
+        let mode = std::fs::metadata(path)?.permissions();
+        let mut file = std::fs::File::create(p)?;
+        file.set_permissions(mode)?;
+        file.write_all(text.as_bytes())?;
+        file.sync_all()
+    };
+    let told = |e: std::io::Error| Stop::failed(format!("cannot write {}: {e}", beside.display()));
+    let done = write(&beside)
+        .map_err(told)
+        .and_then(|()| crate::serve::load(&beside).map(|_| ()))
+        .and_then(|()| std::fs::rename(&beside, path).map_err(told));
+    if done.is_err() {
+        // What is left beside is of no use to anyone; that it cannot be taken away changes nothing.
+        let _ = std::fs::remove_file(&beside);
+    }
+    done
+}
+
+fn rotate(
+    path: &Path,
+    sender: &str,
+    name: Option<&str>,
+    overlap: &str,
+    (kind, private_out): (Kind, Option<&Path>),
+) -> Result<(), Stop> {
+    let overlap = humantime::parse_duration(overlap)
+        .map_err(|e| Stop::usage(format!("--overlap {overlap}: {e}; give a time such as 7d or 2h")))?;
+    let (settings, _, folder) = crate::serve::load(path)?;
+    let known = settings.webhook.senders.iter().find(|s| s.name == sender);
+    let known = known.ok_or_else(|| Stop::usage(format!("the settings name no sender \"{sender}\"")))?;
+    let now = std::time::SystemTime::now();
+    let day = humantime::format_rfc3339_seconds(now).to_string();
+    let name = name.unwrap_or(&day[..10]);
+    let end = now.checked_add(overlap).ok_or_else(|| Stop::usage("--overlap is too long"))?;
+    let end = humantime::format_rfc3339_seconds(end).to_string();
+    // Beside the key that it follows.
+    let beside = known.secrets.last().and_then(|s| s.file.parent()).unwrap_or(Path::new(""));
+    let file = beside.join(format!("{sender}-{name}.key").replace(':', "_"));
+    let changed =
+        badgerwind_settings::edit::rotate(&read(path)?, sender, name, &file.display().to_string(), &end)
+            .map_err(|e| Stop::usage(e.to_string()))?;
+    let kind = match (kind, private_out) {
+        (Kind::Shared, None) => KeyKind::Shared,
+        (Kind::Ed25519, Some(_)) => KeyKind::Private,
+        (Kind::Shared, Some(_)) => {
+            return Err(Stop::usage("a shared secret has one half: leave --private-out out"));
+        }
+        (Kind::Ed25519, None) => {
+            return Err(Stop::usage("--kind ed25519 needs --private-out, the half for the sender"));
+        }
+    };
+    let key = Key::generate(kind).map_err(|e| Stop::failed(format!("no random bytes: {e}")))?;
+    let new = folder.join(&file);
+    let mut written = Vec::new();
+    let done = (|| {
+        if let Some(out) = private_out {
+            write_key(out, &key)?;
+            written.push(out.to_owned());
+        }
+        write_key(&new, &key.public().unwrap_or(key))?;
+        written.push(new.clone());
+        replace(path, &changed)
+    })();
+    if done.is_err() {
+        // Keys that nothing names are taken away again.
+        written.iter().for_each(|f| _ = std::fs::remove_file(f));
+        return done;
+    }
+    let give = private_out.unwrap_or(&new);
+    println!("sender {sender}: key {name} counts from now on, its others until {end}");
+    println!(
+        "give {} to the sender, and send SIGHUP to each front end that has these settings",
+        give.display()
+    );
+    Ok(())
+}
+
+fn retire(path: &Path, sender: &str, name: &str) -> Result<(), Stop> {
+    let (settings, ..) = crate::serve::load(path)?;
+    let (changed, file) = badgerwind_settings::edit::retire(&read(path)?, sender, name)
+        .map_err(|e| Stop::usage(e.to_string()))?;
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    let now = now.map_or(0, |d| d.as_secs() as i64);
+    let known = settings.webhook.senders.iter().find(|s| s.name == sender);
+    let counts = |s: &badgerwind_settings::Secret| {
+        s.name != name && s.not_before.is_none_or(|t| now >= t) && s.not_after.is_none_or(|t| now < t)
+    };
+    if !known.is_some_and(|s| s.secrets.iter().any(counts)) {
+        return Err(Stop::usage(format!(
+            "sender \"{sender}\" would have no key that counts now; rotate first: badgerwind keys rotate"
+        )));
+    }
+    replace(path, &changed)?;
+    println!("sender {sender}: key {name} is out; send SIGHUP to each front end that has these settings");
+    println!("its file {file} stays: delete it once no front end needs it");
+    Ok(())
+}
+
 fn list(path: &Path) -> Result<(), Stop> {
     let (settings, secrets, _) = crate::serve::load(path)?;
     let now =
--- a/crates/badgerwind-cli/src/serve.rs
+++ b/crates/badgerwind-cli/src/serve.rs
@@ -5,7 +5,7 @@
 use badgerwind_config::parts::compose;
 use badgerwind_gateway::control::{read_kept, Following};
 use badgerwind_gateway::secrets::{self, Secrets};
-use badgerwind_gateway::{Options, Stopped};
+use badgerwind_gateway::{Options, Reread, Stopped};
 use badgerwind_settings::document::{parse, Node};
 use badgerwind_settings::{read_tree, Problem, Settings};
 use futures_lite::StreamExt;
@@ -95,14 +95,32 @@
     badgerwind_gateway::logging::start(settings.log.json, &settings.log.level);
     told.iter().for_each(|text| tracing::warn!("{text}"));
     unfit.iter().for_each(|p| tracing::warn!("the set that ran last does not fit the file any more: {p}"));
+    // A control service's routes come before the file's: then only the files that they name are read again.
+    let reread = settings.control.is_none().then(|| reread(args.settings.clone(), file.clone()));
     let following = settings.control.is_some().then_some(Following { file, kept });
     let mut options = Options::new(Arc::new(settings), secrets, folder);
     options.following = following;
-    serve_with(options, args.ready_file.as_deref())
+    serve_with(options, args.ready_file.as_deref(), reread)
+}
+
+/// Reads the settings file anew, and says where it holds more than keys that are not what runs.
+fn reread(path: PathBuf, begun: Node) -> Reread {
+    Box::new(move || {
+        let file = path.display().to_string();
+        let text = std::fs::read_to_string(&path).map_err(|e| {
+            let (what, right) = (format!("cannot be read: {e}"), "put it back".to_owned());
+            vec![Problem { file: file.clone(), line: 1, element: "badgerwind".into(), what, right }]
+        })?;
+        let node = parse(&file, &text).map_err(|p| vec![p])?;
+        if !badgerwind_settings::edit::same_but_keys(&begun, &node) {
+            tracing::warn!("{file} differs from what runs in more than keys: the rest waits for a restart");
+        }
+        read_tree(&node)
+    })
 }
 
 /// Serves with options put together elsewhere.
-pub fn serve_with(options: Options, ready_file: Option<&Path>) -> Result<(), Stop> {
+pub fn serve_with(options: Options, ready_file: Option<&Path>, reread: Option<Reread>) -> Result<(), Stop> {
     smol::block_on(async {
         let signals = Signals::new([Signal::Term, Signal::Int]);
         let signals = signals.map_err(|e| Stop::failed(format!("signals cannot be heard: {e}")))?;
@@ -111,8 +129,8 @@
             let ready = serde_json::json!({ "webhook": running.webhook, "metrics": running.metrics });
             crate::write_whole(path, &ready.to_string())?;
         }
-        // SIGHUP: the key files are read again.
-        let reload = running.reloader();
+        // SIGHUP: keys and certificates are read again.
+        let reload = running.reloader(reread);
         let hangups = Signals::new([Signal::Hup]);
         let mut hangups = hangups.map_err(|e| Stop::failed(format!("signals cannot be heard: {e}")))?;
         let _reloading = smol::spawn(async move {
--- a/crates/badgerwind-cli/tests/rig/mod.rs
+++ b/crates/badgerwind-cli/tests/rig/mod.rs
@@ -376,6 +376,11 @@
         badgerwind_standins::command(self.list, "/standin/runner", runner).await.unwrap();
     }
 
+    /// The front end's process, where it is one.
+    pub fn process_id(&self) -> Option<u32> {
+        self.process.as_ref().map(|p| p.0.id())
+    }
+
     pub async fn stop(mut self) -> badgerwind_gateway::Stopped {
         let running = self.running.take().unwrap();
         running.until(std::future::ready(()), std::future::pending()).await
--- a/crates/badgerwind-cli/tests/stories.rs
+++ b/crates/badgerwind-cli/tests/stories.rs
@@ -63,7 +63,7 @@
 fn keys_are_read_again_all_or_none() {
     smol::block_on(async {
         let rig = Rig::start(Plan::default()).await;
-        let reload = rig.running.as_ref().unwrap().reloader();
+        let reload = rig.running.as_ref().unwrap().reloader(None);
         let file = rig.folder.path().join("portal.key");
         let fresh = Key::generate(KeyKind::Shared).unwrap();
         assert_eq!(rig.send_as(&fresh, "m1", CHECK, 1).await.status, 401);
--- a/crates/badgerwind-cli/tests/tls.rs
+++ b/crates/badgerwind-cli/tests/tls.rs
@@ -100,7 +100,7 @@
     smol::block_on(async {
         let (old, new) = (Authority::new(), Authority::new());
         let rig = Rig::start(plan(&old, old.sign("front.test"))).await;
-        let reload = rig.running.as_ref().unwrap().reloader();
+        let reload = rig.running.as_ref().unwrap().reloader(None);
         let (from_old, from_new) = (|| Some(old.trusted("front.test")), || Some(new.trusted("front.test")));
         assert_eq!(send(&rig, from_old(), "m1").await, Ok(200));
         let file = |name: &str| rig.folder.path().join(name);
--- a/crates/badgerwind-gateway/src/lib.rs
+++ b/crates/badgerwind-gateway/src/lib.rs
@@ -20,4 +20,4 @@
 mod trace;
 
 pub use answers::{remembers, Kept};
-pub use serve::{serve, Options, Running, ServeError, Stopped};
+pub use serve::{serve, Options, Reread, Running, ServeError, Stopped};
--- a/crates/badgerwind-gateway/src/serve.rs
+++ b/crates/badgerwind-gateway/src/serve.rs
@@ -16,7 +16,7 @@
 use badgerwind_driver::Decider;
 use badgerwind_guard::Guard;
 use badgerwind_protocol::list::List;
-use badgerwind_settings::Settings;
+use badgerwind_settings::{Problem, Settings};
 use badgerwind_webhook::{Replay, Skew};
 use futures_lite::FutureExt;
 use smol::net::TcpListener;
@@ -53,6 +53,37 @@
     }
 }
 
+/// Reads the settings anew.
+pub type Reread = Box<dyn Fn() -> Result<Settings, Vec<Problem>> + Send + Sync>;
+
+/// The settings that run, with what names keys from others. Calls know their sender by its place, so the senders
+/// must be the same in the same order.
+fn take_over(running: &Settings, from: Settings) -> Result<Settings, Vec<Problem>> {
+    let names =
+        |s: &Settings| s.webhook.senders.iter().map(|s| (s.name.clone(), s.tenant)).collect::<Vec<_>>();
+    if names(running) != names(&from) {
+        return Err(vec![Problem {
+            file: "settings".into(),
+            line: 1,
+            element: "webhook".into(),
+            what: "other senders than those that run".into(),
+            right: "restart, or offer them as a version of the routes; keys are then read again".into(),
+        }]);
+    }
+    let mut settings = running.clone();
+    settings.webhook.senders = from.webhook.senders;
+    settings.webhook.guard = from.webhook.guard;
+    // TLS begins or ends with a restart: it would cut off whoever has not heard.
+    if settings.webhook.tls.is_some() && from.webhook.tls.is_some() {
+        settings.webhook.tls = from.webhook.tls;
+    }
+    if settings.runners.tls.is_some() && from.runners.tls.is_some() {
+        settings.runners.tls = from.runners.tls;
+    }
+    (settings.runners.key_file, settings.runners.line) = (from.runners.key_file, from.runners.line);
+    Ok(settings)
+}
+
 /// Why a daemon could not start.
 #[derive(Debug, thiserror::Error)]
 pub enum ServeError {
@@ -250,16 +281,24 @@
 }
 
 impl Running {
-    /// Reads the key files again, all or none: where one cannot be used, the keys stay as they are and the problems
-    /// come back.
-    pub fn reloader(&self) -> impl Fn() -> Result<(), Vec<badgerwind_settings::Problem>> + Send + 'static {
+    /// Reads the key files and certificates again, all or none: where one cannot be used, all stay as they are and the
+    /// problems come back. `reread` brings the settings anew, of which the parts that name keys are taken over:
+    /// senders' secrets and callbacks, budgets, certificates, the runners' key; without it the settings stay.
+    pub fn reloader(
+        &self,
+        reread: Option<Reread>,
+    ) -> impl Fn() -> Result<(), Vec<badgerwind_settings::Problem>> + Send + 'static {
         let (front, runners, folder) = (self.front.clone(), self.runners.clone(), self.folder.clone());
         move || {
             let rules = front.rules();
-            let secrets = crate::secrets::load("settings", &folder, &rules.settings)?;
-            runners.change(rules.settings.clone(), secrets.runners, secrets.runners_tls);
+            let settings = match &reread {
+                None => rules.settings.clone(),
+                Some(reread) => Arc::new(take_over(&rules.settings, reread()?)?),
+            };
+            let secrets = crate::secrets::load("settings", &folder, &settings)?;
+            runners.change(settings.clone(), secrets.runners, secrets.runners_tls);
             front.change(Rules {
-                settings: rules.settings.clone(),
+                settings,
                 rings: secrets.rings,
                 callbacks: secrets.callbacks,
                 tls: secrets.senders_tls,
--- a/crates/badgerwind-settings/src/lib.rs
+++ b/crates/badgerwind-settings/src/lib.rs
@@ -3,6 +3,7 @@
 //! Nothing here reads a file; secrets stand in the document by the name of their file only.
 
 pub mod document;
+pub mod edit;
 mod read;
 pub mod schema;
 mod typed;
