Memory of ids: no message waits for it to grow or to age; 128-bit ids

What was aged out and not yet let go never counts. Callbacks take their place before the id is let in, so that a repeat beside a refused one is not told that it may have run.

--- a/crates/badgerwind-cli/tests/stories.rs
+++ b/crates/badgerwind-cli/tests/stories.rs
@@ -564,6 +564,8 @@
         assert_eq!(status, 200, "the sender has its answer whatever becomes of the callback");
         let (status, text) = send("m3", "receipts").await;
         assert!(status == 503 && text.contains("callbacks-full"), "{text}");
+        let (status, _) = send("m2", "receipts").await;
+        assert_eq!(status, 200, "one that has its answer gets it, whatever is owed");
         assert_eq!(rig.arrived(), 2, "nothing was started for what could not be owed");
         assert_eq!(rig.send("m3", LODGE, 1).await.status, 200, "and its id is free");
         assert!(futures_lite::future::poll_once(trap.accept()).await.is_none());
--- a/crates/badgerwind-gateway/src/front.rs
+++ b/crates/badgerwind-gateway/src/front.rs
@@ -17,7 +17,9 @@
 use badgerwind_guard::{forwarded, Budget, Guard, Permit, Source, Who};
 use badgerwind_http::{Conn, Limits, RequestHead, Response, ServerTls, Stream};
 use badgerwind_settings::{Settings, Target};
-use badgerwind_webhook::{Admission, Bounds, Claim, Digest, Ending, Key, KeyRing, Replay, Skew, VerifyError};
+use badgerwind_webhook::{
+    Admission, Bounds, Claim, Digest, Ending, Id, Key, KeyRing, Replay, Skew, VerifyError,
+};
 use futures_lite::FutureExt;
 use smol::net::TcpListener;
 use smol::Timer;
@@ -139,8 +141,8 @@
     waits: Span,
     class: usize,
     webhook_id: Arc<str>,
-    /// The id with its sender's name.
-    scoped: Arc<str>,
+    /// The id with its sender's name, as it is remembered.
+    scoped: Id,
     remembered: bool,
     settled: bool,
     due: Time,
@@ -217,7 +219,7 @@
             class = %name, answer = word, attempts, worker, lag_us = lag, "answered"
         );
         let response = Arc::new(response.with(REQUEST, &**id));
-        let size = response.body.len() + self.webhook_id.len() + RECORD;
+        let size = response.body.len() + RECORD;
         let ending = match kept {
             // A stream has passed by and cannot be had again; nor is it kept.
             Kept::Remember if rest.is_none() => Ending::Remember { answer: response.clone(), size },
@@ -283,8 +285,9 @@
 /// Bodies above this many bytes are checked on a thread of their own, so that other connections go on meanwhile.
 const LARGE: usize = 32 * 1024;
 
-/// What a remembered id takes beside its body and itself, roughly.
-const RECORD: usize = 256;
+/// What a remembered id takes beside its answer's body, at the most: `cargo bench -p badgerwind-webhook --bench replay`
+/// says up to 240 bytes for the id, the rest is the answer's head.
+const RECORD: usize = 512;
 
 /// A message whose signature was good.
 struct Verified {
@@ -627,11 +630,34 @@
         if due <= self.clock.now() + set.round {
             return Err(away(503, "no-time", "too little of the sender's time is left"));
         }
+        let callback = match header(CALLBACK).map(|name| sender.callbacks.iter().position(|c| c.name == name))
+        {
+            Some(None) => {
+                let text = "the settings name no such callback of this sender";
+                return Err(away(400, "unknown-callback", text));
+            }
+            asked => asked.flatten(),
+        };
         let unsafe_call = class.effect != Effect::Repeatable;
-        let scoped: Arc<str> = format!("{}/{id}", sender.name).into();
+        let scoped = Id::of(&sender.name, &id);
         let (waiter, wait) = async_channel::bounded(1);
-        let admission = self.memory().admit(self.clock.now(), &scoped, digest, unsafe_call, || waiter);
-        self.metrics.remembered_ids.set(self.memory().len() as i64);
+        let mut memory = self.memory();
+        let now = self.clock.now();
+        // A place for its callback is taken before the memory lets it in, so that a repeat beside it never waits for
+        // what will not run; one that is known needs none.
+        let callback = match callback.filter(|_| !memory.knows(now, &scoped)) {
+            None => None,
+            Some(n) => {
+                let c = &sender.callbacks[n];
+                let key = rules.callbacks[route.sender][n].clone();
+                let owed = Owed::take(&self.owed, w.callbacks, (&c.name, c.address, &c.path), key);
+                let text = "no more callbacks can be owed now; nothing was started";
+                Some(owed.ok_or_else(|| away(503, "callbacks-full", text))?)
+            }
+        };
+        let admission = memory.admit(now, &scoped, digest, unsafe_call, || waiter);
+        self.metrics.remembered_ids.set(memory.len() as i64);
+        drop(memory);
         let remembered = match admission {
             Admission::Run => true,
             Admission::RunUnremembered => false,
@@ -652,37 +678,6 @@
                 ));
             }
         };
-        let callback = match header(CALLBACK).map(|name| sender.callbacks.iter().position(|c| c.name == name))
-        {
-            None => None,
-            Some(None) => {
-                // The memory has let it in: let it go again, it never ran.
-                if remembered {
-                    self.memory().end(self.clock.now(), &scoped, Ending::Forget);
-                }
-                return Err(away(
-                    400,
-                    "unknown-callback",
-                    "the settings name no such callback of this sender",
-                ));
-            }
-            Some(Some(n)) => {
-                let c = &sender.callbacks[n];
-                let key = rules.callbacks[route.sender][n].clone();
-                let owed = Owed::take(&self.owed, w.callbacks, (&c.name, c.address, &c.path), key);
-                if owed.is_none() {
-                    if remembered {
-                        self.memory().end(self.clock.now(), &scoped, Ending::Forget);
-                    }
-                    return Err(away(
-                        503,
-                        "callbacks-full",
-                        "no more callbacks can be owed now; nothing was started",
-                    ));
-                }
-                owed
-            }
-        };
         let (reply, answer) = async_channel::bounded(1);
         let waiting = Waiting {
             front: self.clone(),
--- a/crates/badgerwind-settings/src/schema.rs
+++ b/crates/badgerwind-settings/src/schema.rs
@@ -415,7 +415,12 @@
             "1000",
             "Callbacks that may be owed at once; a call that asks for one more is refused.",
         ),
-        or("remember-bytes", Kind::Whole(1024, 1 << 36), "67108864", "Bytes of answers remembered at once."),
+        or(
+            "remember-bytes",
+            Kind::Whole(1024, 1 << 36),
+            "134217728",
+            "Bytes of ids and answers remembered at once.",
+        ),
         or("waiters", Kind::Whole(1, 10_000), "16", "Repeats that may wait for one answer."),
     ],
     children: &[some(&SENDER), some(&ROUTE), maybe(&GUARD), maybe(&TLS)],
--- a/crates/badgerwind-webhook/src/lib.rs
+++ b/crates/badgerwind-webhook/src/lib.rs
@@ -11,7 +11,7 @@
 mod skew;
 
 pub use key::{Key, KeyError, KeyKind};
-pub use replay::{Admission, Bounds, Digest, Ending, Replay};
+pub use replay::{Admission, Bounds, Digest, Ending, Id, Replay};
 pub use sign::{sign, Claim, KeyRing, RingKey, Signed, VerifyError};
 pub use skew::Skew;
 
--- a/crates/badgerwind-webhook/src/replay.rs
+++ b/crates/badgerwind-webhook/src/replay.rs
@@ -7,7 +7,6 @@
 
 use sha2::{Digest as _, Sha256};
 use std::collections::{HashMap, VecDeque};
-use std::sync::Arc;
 
 /// Microseconds of a monotonic clock.
 type Time = u64;
@@ -74,10 +73,30 @@
     Forget,
 }
 
+/// An id as it is remembered: SHA-256 of its parts, cut to 128 bits. Ids are scoped by their sender's name, so that a
+/// sender could at most look for a collision among its own, at some 2^64 tries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Id([u8; 16]);
+
+impl Id {
+    /// Of a sender's name and a message's id, neither of which holds a zero byte.
+    pub fn of(sender: &str, id: &str) -> Self {
+        let Digest(whole) = Digest::of_parts(&[sender.as_bytes(), &[0], id.as_bytes()]);
+        let mut cut = [0; 16];
+        cut.copy_from_slice(&whole[..16]);
+        Id(cut)
+    }
+
+    fn shard(&self, shards: usize) -> usize {
+        usize::from(u16::from_le_bytes([self.0[0], self.0[1]])) % shards.max(1)
+    }
+}
+
 #[derive(Debug)]
 enum State<A, W> {
     Running(Vec<W>),
-    Answered(A, usize),
+    /// The answer, its size, and when it was given.
+    Answered(A, usize, Time),
 }
 
 #[derive(Debug)]
@@ -86,23 +105,34 @@
     state: State<A, W>,
 }
 
-/// An id, scoped to its sender by the caller.
-type Name = Arc<str>;
+/// Ids that share a table. A table grows all at once, and whoever comes then waits for it: a small one is quick.
+const SHARD: usize = 1024;
+const MOST_SHARDS: usize = 1 << 16;
+
+/// Ends that share a piece of the queue, which grows by pieces and never moves them.
+const PIECE: usize = 512;
 
-/// The memory. `A`: an answer. `W`: who waits for one. Ids are scoped to their sender by the caller.
+/// Ids let go at one message at the most, for the same reason; a message adds one, so the queue still gets shorter.
+const LET_GO: usize = 64;
+
+/// The memory. `A`: an answer. `W`: who waits for one.
 #[derive(Debug)]
 pub struct Replay<A, W> {
     bounds: Bounds,
-    entries: HashMap<Name, Entry<A, W>>,
+    shards: Vec<HashMap<Id, Entry<A, W>>>,
+    len: usize,
     /// Ended ids by the time of their end: all are kept equally long.
-    ended: VecDeque<(Time, Name)>,
+    ended: VecDeque<VecDeque<(Time, Id)>>,
     bytes: usize,
 }
 
 impl<A: Clone, W> Replay<A, W> {
-    /// An empty memory.
+    /// An empty memory. It is laid out for the count of its bounds at the start; one that grows far beyond it by
+    /// [`Replay::set_bounds`] stays right, and lets messages wait longer now and then.
     pub fn new(bounds: Bounds) -> Self {
-        Replay { bounds, entries: HashMap::new(), ended: VecDeque::new(), bytes: 0 }
+        let shards = (bounds.count / SHARD).next_power_of_two().min(MOST_SHARDS);
+        let shards = (0..shards).map(|_| HashMap::new()).collect();
+        Replay { bounds, shards, len: 0, ended: VecDeque::new(), bytes: 0 }
     }
 
     /// Changes the bounds from now on; what is remembered beyond them ages out.
@@ -110,73 +140,110 @@
         self.bounds = bounds;
     }
 
-    /// Ids remembered.
+    /// Ids remembered; some of them may have aged out and not been let go yet.
     pub fn len(&self) -> usize {
-        self.entries.len()
+        self.len
     }
 
     /// True where nothing is remembered.
     pub fn is_empty(&self) -> bool {
-        self.entries.is_empty()
+        self.len == 0
+    }
+
+    fn shard(&mut self, id: &Id) -> &mut HashMap<Id, Entry<A, W>> {
+        let n = id.shard(self.shards.len());
+        &mut self.shards[n]
+    }
+
+    fn forget(&mut self, id: &Id) {
+        if let Some(entry) = self.shard(id).remove(id) {
+            self.len -= 1;
+            if let State::Answered(_, size, _) = entry.state {
+                self.bytes -= size;
+            }
+        }
+    }
+
+    /// True where an id is under way or has an answer that still counts: [`Replay::admit`] would start nothing.
+    pub fn knows(&mut self, now: Time, id: &Id) -> bool {
+        let keep = self.bounds.keep;
+        match self.shard(id).get(id).map(|e| &e.state) {
+            Some(State::Answered(_, _, at)) => at.saturating_add(keep) > now,
+            Some(State::Running(_)) => true,
+            None => false,
+        }
     }
 
     /// Judges a message whose signature is valid. `unsafe_call`: it must not run twice.
     pub fn admit(
         &mut self,
         now: Time,
-        id: &Arc<str>,
+        id: &Id,
         digest: Digest,
         unsafe_call: bool,
         waiter: impl FnOnce() -> W,
     ) -> Admission<A> {
         self.expire(now);
-        let name = id.clone();
-        if let Some(entry) = self.entries.get_mut(&name) {
-            if entry.digest != digest {
-                return Admission::Conflict;
-            }
-            return match &mut entry.state {
-                State::Answered(answer, _) => Admission::Answered(answer.clone()),
-                State::Running(waiters) if waiters.len() < self.bounds.waiters => {
+        let (keep, waiters_most) = (self.bounds.keep, self.bounds.waiters);
+        if let Some(entry) = self.shard(id).get_mut(id) {
+            match &mut entry.state {
+                // Aged out, though its turn to be let go has not come.
+                State::Answered(_, _, at) if at.saturating_add(keep) <= now => self.forget(id),
+                _ if entry.digest != digest => return Admission::Conflict,
+                State::Answered(answer, ..) => return Admission::Answered(answer.clone()),
+                State::Running(waiters) if waiters.len() < waiters_most => {
                     waiters.push(waiter());
-                    Admission::Waits
+                    return Admission::Waits;
                 }
-                State::Running(_) => Admission::Full,
-            };
+                State::Running(_) => return Admission::Full,
+            }
         }
-        if self.entries.len() >= self.bounds.count || self.bytes >= self.bounds.bytes {
+        if self.len >= self.bounds.count || self.bytes >= self.bounds.bytes {
             return if unsafe_call { Admission::Full } else { Admission::RunUnremembered };
         }
-        self.entries.insert(name, Entry { digest, state: State::Running(Vec::new()) });
+        self.shard(id).insert(*id, Entry { digest, state: State::Running(Vec::new()) });
+        self.len += 1;
         Admission::Run
     }
 
     /// Books the end of a call that [`Admission::Run`] let in; those that waited are handed back to be answered.
-    pub fn end(&mut self, now: Time, id: &Arc<str>, ending: Ending<A>) -> Vec<W> {
-        let name = id.clone();
-        let Some(entry) = self.entries.get_mut(&name) else { return Vec::new() };
+    pub fn end(&mut self, now: Time, id: &Id, ending: Ending<A>) -> Vec<W> {
+        let Some(entry) = self.shard(id).get_mut(id) else { return Vec::new() };
         let State::Running(waiters) = &mut entry.state else { return Vec::new() };
         let waiters = std::mem::take(waiters);
         match ending {
             Ending::Remember { answer, size } => {
-                entry.state = State::Answered(answer, size);
+                entry.state = State::Answered(answer, size, now);
                 self.bytes += size;
-                self.ended.push_back((now, name));
+                match self.ended.back_mut() {
+                    Some(piece) if piece.len() < PIECE => piece.push_back((now, *id)),
+                    _ => {
+                        let mut piece = VecDeque::with_capacity(PIECE);
+                        piece.push_back((now, *id));
+                        self.ended.push_back(piece);
+                    }
+                }
             }
-            Ending::Forget => _ = self.entries.remove(&name),
+            Ending::Forget => self.forget(id),
         }
         waiters
     }
 
     fn expire(&mut self, now: Time) {
-        while let Some((at, _)) = self.ended.front() {
+        for _ in 0..LET_GO {
+            let Some(piece) = self.ended.front_mut() else { break };
+            let Some((at, id)) = piece.front().copied() else {
+                self.ended.pop_front();
+                continue;
+            };
             if at.saturating_add(self.bounds.keep) > now {
                 break;
             }
-            if let Some((_, name)) = self.ended.pop_front() {
-                if let Some(Entry { state: State::Answered(_, size), .. }) = self.entries.remove(&name) {
-                    self.bytes -= size;
-                }
+            piece.pop_front();
+            // The same id may have come anew since, and ended later.
+            let entry = self.shard(&id).get(&id);
+            if matches!(entry, Some(Entry { state: State::Answered(_, _, ended), .. }) if *ended == at) {
+                self.forget(&id);
             }
         }
     }
