trace: records of runners, times held and out, and a picture

Need: a timeline of front ends alone does not show what the runner did, nor where the time went. What has no end lasts to the last event.

--- a/crates/badgerwind-cli/src/day/mod.rs
+++ b/crates/badgerwind-cli/src/day/mod.rs
@@ -95,6 +95,8 @@
 pub fn play(args: &Args, folder: &Path) -> Result<Outcome, Stop> {
     let mut world = World::draw(args.seed, args.seconds);
     (world.fenced, world.reckless) = (args.fenced, args.reckless);
+    // What is kept is there to be followed: `badgerwind trace` reads attempts at this level.
+    world.level = if args.keep.is_some() { "debug" } else { "info" };
     let script = script(args, &world)?;
     if script.events.iter().any(|e| e.act == script::Act::Publish) {
         // The fleet gives it its address. One front end more, so that a wave has more than two parts.
--- a/crates/badgerwind-cli/src/day/world.rs
+++ b/crates/badgerwind-cli/src/day/world.rs
@@ -73,6 +73,8 @@
     /// Attributes of the budgets for failed signatures, behind a balancer on loopback; `None`: as they are by
     /// themselves, without one.
     pub guard: Option<String>,
+    /// What front ends log.
+    pub level: &'static str,
 }
 
 /// Figures that hold for every world.
@@ -142,6 +144,7 @@
             control: None,
             round_us: 2_000,
             guard: None,
+            level: "info",
         }
     }
 
@@ -215,7 +218,7 @@
                  most-retry=\"500ms\"><service address=\"{address}\"/></control>"
             ));
         }
-        line("  <log format=\"json\" level=\"info\"/>".into());
+        line(format!("  <log format=\"json\" level=\"{}\"/>", self.level));
         line("  <stop within=\"5s\"/>".into());
         line("</badgerwind>".into());
         x
--- a/crates/badgerwind-cli/tests/program.rs
+++ b/crates/badgerwind-cli/tests/program.rs
@@ -241,7 +241,7 @@
             lines,
             [
                 "a            taken as r-1 from portal (key a), for lodge, trace abc",
-                "a            attempt 0 to runner 4",
+                "a            attempt 0 to runner 4, held 100.0 ms before",
                 "b            taken as r-2 from portal (key a), for lodge, trace abc",
                 "b            attempt 0 ended: ok, copy Warm",
                 "b            served after 1 attempts, 1.5 ms since it was taken",
@@ -253,6 +253,59 @@
     assert_eq!(badgerwind(folder.path(), &["trace", "msg_8", "--log", "a.log"]).status.code(), Some(1));
 }
 
+#[test]
+fn a_call_is_drawn_with_what_its_runners_recorded() {
+    use badgerwind_cli::trace::draw::{Bar, Chart, Shade};
+    use badgerwind_cli::trace::read::events;
+    let log = |at: u32, rest: &str| format!("{{\"timestamp\":\"2026-12-01T18:00:00.{at:03}Z\",{rest}}}\n");
+    let logs = [
+        log(0, "\"message\":\"taken\",\"request\":\"r-1\",\"webhook_id\":\"m\",\"sender\":\"p\",\"key\":\"a\",\"function\":\"f\",\"trace_id\":\"t\""),
+        log(10, "\"message\":\"attempt\",\"request\":\"r-1\",\"attempt\":0,\"worker\":4"),
+        log(20, "\"message\":\"attempt ended\",\"request\":\"r-1\",\"attempt\":0,\"outcome\":\"full\",\"mark\":\"None\""),
+        log(25, "\"message\":\"attempt\",\"request\":\"r-1\",\"attempt\":1,\"worker\":5"),
+        log(90, "\"message\":\"attempt ended\",\"request\":\"r-1\",\"attempt\":1,\"outcome\":\"reset\",\"mark\":\"None\""),
+        log(91, "\"message\":\"answered\",\"request\":\"r-1\",\"webhook_id\":\"m\",\"answer\":\"failed\",\"attempts\":2,\"lag_us\":91000"),
+        log(100, "\"message\":\"callback delivered\",\"webhook_id\":\"m_answer\",\"callback\":\"c\""),
+    ];
+    let start = 1_796_148_000_000_000u64;
+    let record = |at: u64, what: &str| {
+        format!(
+            "{{\"at\":{},\"what\":\"{what}\",\"runner\":5,\"request\":\"r-1\",\"attempt\":1}}\n",
+            start + at * 1000
+        )
+    };
+    let records = record(30, "began")
+        + &record(80, "finished")
+        + &record(80, "began").replace("r-1", "r-2")
+        + "{\"at\":1";
+    let events = events("m", &[("f0".into(), logs.concat())], &[("r5".into(), records)]);
+    assert_eq!(events.len(), 9, "{events:#?}");
+    assert_eq!(events[0].at, start);
+    let chart = Chart::of(&events);
+    let rows =
+        ["r-1 at f0", "attempt 0 of r-1 to runner 4", "attempt 1 of r-1 to runner 5", "runner 5 on r-1/1"];
+    assert_eq!(chart.rows, rows);
+    let bar = |row, from: u64, to: u64, shade| Bar { row, from: from * 1000, to: to * 1000, shade };
+    assert_eq!(
+        chart.bars,
+        [
+            bar(0, 0, 10, Shade::Held),
+            bar(1, 10, 20, Shade::Never),
+            bar(0, 20, 25, Shade::Held),
+            bar(2, 25, 90, Shade::Doubt),
+            bar(3, 30, 80, Shade::Work),
+            bar(0, 90, 91, Shade::Held),
+        ]
+    );
+    let folder = tempfile::tempdir().unwrap();
+    std::fs::write(folder.path().join("f0.log"), logs.concat()).unwrap();
+    let out = badgerwind(folder.path(), &["trace", "m", "--log", "f0.log", "--svg", "m.svg"]);
+    assert!(out.status.success(), "{}", text(&out.stderr));
+    let svg = std::fs::read_to_string(folder.path().join("m.svg")).unwrap();
+    assert!(svg.starts_with("<svg") && rows[..3].iter().all(|r| svg.contains(r)), "{svg}");
+    assert!(text(&out.stdout).contains("attempt 1 to runner 5, held 5.0 ms before"));
+}
+
 #[test]
 fn a_folder_of_messages_is_delivered_and_what_is_left_is_left_for_the_next_run() {
     use std::io::{Read, Write};
