--- a/crates/badgerwind-cli/tests/program.rs
+++ b/crates/badgerwind-cli/tests/program.rs
@@ -274,9 +274,9 @@
             start + at * 1000
         )
     };
-    let records = record(30, "began")
+    let records = record(30, "arrived")
         + &record(80, "finished")
-        + &record(80, "began").replace("r-1", "r-2")
+        + &record(80, "arrived").replace("r-1", "r-2")
         + "{\"at\":1";
     let events = events("m", &[("f0".into(), logs.concat())], &[("r5".into(), records)]);
     assert_eq!(events.len(), 9, "{events:#?}");
