--- a/crates/badgerwind-cli/tests/program.rs
+++ b/crates/badgerwind-cli/tests/program.rs
@@ -270,7 +270,7 @@
     let start = 1_796_148_000_000_000u64;
     let record = |at: u64, what: &str| {
         format!(
-            "{{\"at\":{},\"what\":\"{what}\",\"runner\":5,\"request\":\"r-1\",\"attempt\":1}}\n",
+            "{{\"at\":{},\"what\":\"{what}\",\"runner\":5,\"request\":\"r-1\",\"attempt\":1,\"call\":\"c\",\"front\":0,\"class\":\"k\"}}\n",
             start + at * 1000
         )
     };
