No signature outlives the memory of its id: edge, clock set back, slow body

A message signed as far ahead as may be is good for a second longer than twice the tolerance, to which remember was held; a wall clock set back makes old messages good again while ids age by the monotonic one; a body that comes slowly was judged by its head and admitted after its id was forgotten. Change: ids are remembered for (2 x tolerance + 1 s) x 8/7 at the least; signatures are judged by a clock that never goes back nor below 7/8 pace; the time is judged again where the memory is asked.

--- a/crates/badgerwind-gateway/src/clock.rs
+++ b/crates/badgerwind-gateway/src/clock.rs
@@ -25,10 +25,15 @@
     }
 }
 
-/// Wall time in seconds since the Unix epoch, for webhook timestamps alone.
-pub(crate) fn unix_seconds() -> i64 {
+/// Wall time in microseconds since the Unix epoch, for webhook timestamps alone.
+pub(crate) fn unix_micros() -> i64 {
     match SystemTime::now().duration_since(UNIX_EPOCH) {
-        Ok(since) => since.as_secs() as i64,
-        Err(before) => -(before.duration().as_secs() as i64),
+        Ok(since) => since.as_micros() as i64,
+        Err(before) => -(before.duration().as_micros() as i64),
     }
 }
+
+/// The same in whole seconds.
+pub(crate) fn unix_seconds() -> i64 {
+    unix_micros().div_euclid(1_000_000)
+}
--- a/crates/badgerwind-gateway/src/front.rs
+++ b/crates/badgerwind-gateway/src/front.rs
@@ -5,7 +5,7 @@
 
 use crate::answers::{remembers, Kept};
 use crate::callbacks::Owed;
-use crate::clock::{unix_seconds, Clock};
+use crate::clock::{unix_micros, unix_seconds, Clock};
 use crate::engine::{Content, Ended, Input, Origin};
 use crate::metrics::Metrics;
 use crate::runners::Reply;
@@ -18,7 +18,7 @@
 use badgerwind_http::{Conn, Limits, RequestHead, Response, ServerTls, Stream};
 use badgerwind_settings::{Settings, Target};
 use badgerwind_webhook::{
-    Admission, Bounds, Claim, Digest, Ending, Id, Key, KeyRing, Replay, Skew, VerifyError,
+    Admission, Bounds, Claim, Digest, Ending, Id, Key, KeyRing, Replay, Skew, VerifyError, Wall,
 };
 use futures_lite::FutureExt;
 use smol::net::TcpListener;
@@ -74,6 +74,8 @@
     pub replay: Mutex<Memory>,
     /// Budgets for failed signatures.
     pub guard: Mutex<Guard>,
+    /// The time by which signatures are judged.
+    pub wall: Mutex<Wall>,
     /// Senders' clocks, by their place.
     pub skews: Mutex<Vec<Skew>>,
     /// Places for checks of large bodies, which go on threads of their own.
@@ -262,7 +264,9 @@
 /// The bounds of the memory of ids, from the settings.
 pub(crate) fn bounds(settings: &Settings) -> Bounds {
     let w = &settings.webhook;
-    Bounds { count: w.remember_most, keep: w.remember, waiters: w.waiters, bytes: w.remember_bytes }
+    let longest = w.senders.iter().map(|s| Bounds::keep_for(s.tolerance)).max().unwrap_or(0);
+    let keep = w.remember.max(longest);
+    Bounds { count: w.remember_most, keep, waiters: w.waiters, bytes: w.remember_bytes }
 }
 
 /// The bounds of the budgets for failed signatures, from the settings.
@@ -293,6 +297,8 @@
 struct Verified {
     /// The name of the key that signed it.
     key: Arc<str>,
+    /// Its timestamp.
+    sent: i64,
     /// Of path and body.
     digest: Digest,
     body: Vec<u8>,
@@ -337,6 +343,15 @@
         recent.push_back(call);
     }
 
+    /// The time by which signatures are judged, in seconds since the Unix epoch.
+    fn wall(&self) -> i64 {
+        let (now, reading) = (self.clock.now(), unix_micros());
+        let mut wall = self.wall.lock().unwrap_or_else(PoisonError::into_inner);
+        let judged = wall.at(now, reading);
+        self.metrics.clock_behind.set(wall.behind(now, reading));
+        judged
+    }
+
     fn guard(&self) -> MutexGuard<'_, Guard> {
         self.guard.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -467,7 +482,7 @@
         })?;
         let (id, signature) = (header(badgerwind_webhook::ID), header(badgerwind_webhook::SIGNATURE));
         let time = header(badgerwind_webhook::TIMESTAMP);
-        match rules.rings[sender].claim(unix_seconds(), id, time, signature) {
+        match rules.rings[sender].claim(self.wall(), id, time, signature) {
             Ok(claim) => Ok((permit, claim)),
             Err(e) => {
                 guard.failed(now, permit);
@@ -496,13 +511,13 @@
         (permit, claim): (Permit, Claim),
         body: Vec<u8>,
     ) -> Result<Verified, Away> {
-        let now = unix_seconds();
+        let now = self.wall();
         let (sent, of, source) = (claim.sent(), rules.clone(), permit.who().source);
         let check = move || {
             let route = &of.settings.webhook.routes[route];
             let key = claim.check(&of.rings[route.sender], now, &body)?;
             let digest = Digest::of_parts(&[route.path.as_bytes(), b"\n", &body]);
-            Ok(Verified { key, digest, body })
+            Ok(Verified { key, sent, digest, body })
         };
         let large = rules.settings.webhook.body_bytes.min(LARGE);
         let checked = match permit.bytes() > large as u64 {
@@ -539,8 +554,9 @@
         (route, function): (usize, usize),
         (claimed, body, began): ((Permit, Claim), Vec<u8>, Time),
     ) -> Handled {
+        let source = claimed.0.who().source;
         let verified = self.verify(rules, route, claimed, body).await;
-        let admitted = verified.and_then(|v| self.admit(rules, head, (route, function), v, began));
+        let admitted = verified.and_then(|v| self.admit(rules, head, (route, function), (v, source), began));
         match admitted {
             Err(away) => {
                 self.metrics.turned_away(away.reason);
@@ -604,7 +620,7 @@
         rules: &Rules,
         head: &RequestHead,
         (route, function): (usize, usize),
-        verified: Verified,
+        (verified, source): (Verified, Source),
         began: Time,
     ) -> Result<Admitted, Away> {
         let settings = &rules.settings;
@@ -613,7 +629,7 @@
         let header = |name| head.headers.get(name);
         let id = header(badgerwind_webhook::ID);
         let sender = &w.senders[route.sender];
-        let Verified { key, digest, body } = verified;
+        let Verified { key, sent, digest, body } = verified;
         let id: Arc<str> = id.unwrap_or("").into();
         if self.stopping.load(Ordering::Relaxed) {
             return Err(away(503, "stopping", "this front end stops; another will take it"));
@@ -642,6 +658,9 @@
         let scoped = Id::of(&sender.name, &id);
         let (waiter, wait) = async_channel::bounded(1);
         let mut memory = self.memory();
+        // The time is judged again: a body may take longer to come than its id is remembered.
+        let judged = rules.rings[route.sender].in_time(self.wall(), sent);
+        judged.map_err(|e| self.unverified(&sender.name, source, &e))?;
         let now = self.clock.now();
         // A place for its callback is taken before the memory lets it in, so that a repeat beside it never waits for
         // what will not run; one that is known needs none.
--- a/crates/badgerwind-gateway/src/metrics.rs
+++ b/crates/badgerwind-gateway/src/metrics.rs
@@ -50,6 +50,7 @@
     pub guard_known: Gauge,
     pub failed_signatures: Family<BySender, Counter>,
     pub clock_skew: Family<BySender, Gauge>,
+    pub clock_behind: Gauge,
     pub connections: Gauge,
     pub runners: Gauge,
     pub list_version: Gauge<u64, AtomicU64>,
@@ -74,6 +75,7 @@
             guard_known: Gauge::default(),
             failed_signatures: Family::default(),
             clock_skew: Family::default(),
+            clock_behind: Gauge::default(),
             connections: Gauge::default(),
             runners: Gauge::default(),
             list_version: Gauge::default(),
@@ -98,6 +100,8 @@
         let help =
             "How far a sender's clock runs ahead of this one, by its signed messages of late, in seconds";
         r.register("sender_clock_skew_seconds", help, m.clock_skew.clone());
+        let help = "By how much this machine's clock reads less than it has read, in seconds";
+        r.register("clock_behind_seconds", help, m.clock_behind.clone());
         r.register("connections", "Connections of senders", m.connections.clone());
         r.register("runners_ready", "Runners listed as ready", m.runners.clone());
         r.register("list_version", "Version of the runner list", m.list_version.clone());
--- a/crates/badgerwind-gateway/src/serve.rs
+++ b/crates/badgerwind-gateway/src/serve.rs
@@ -17,7 +17,7 @@
 use badgerwind_guard::Guard;
 use badgerwind_protocol::list::List;
 use badgerwind_settings::{Problem, Settings};
-use badgerwind_webhook::{Replay, Skew};
+use badgerwind_webhook::{Replay, Skew, Wall};
 use futures_lite::FutureExt;
 use smol::net::TcpListener;
 use smol::{Async, Timer};
@@ -217,6 +217,7 @@
         owed: Arc::default(),
         replay: Mutex::new(Replay::new(bounds(&settings))),
         guard: Mutex::new(Guard::new(clock.now(), guard_bounds(&settings))),
+        wall: Mutex::new(Wall::default()),
         skews: Mutex::new(vec![Skew::default(); settings.webhook.senders.len()]),
         checks: smol::lock::Semaphore::new(std::thread::available_parallelism().map_or(1, |n| n.get())),
         inputs: report,
--- a/crates/badgerwind-webhook/src/lib.rs
+++ b/crates/badgerwind-webhook/src/lib.rs
@@ -13,7 +13,7 @@
 pub use key::{Key, KeyError, KeyKind};
 pub use replay::{Admission, Bounds, Digest, Ending, Id, Replay};
 pub use sign::{sign, Claim, KeyRing, RingKey, Signed, VerifyError};
-pub use skew::Skew;
+pub use skew::{Skew, Wall};
 
 /// Name of the header with the message's id, which is the idempotency key.
 pub const ID: &str = "webhook-id";
--- a/crates/badgerwind-webhook/src/replay.rs
+++ b/crates/badgerwind-webhook/src/replay.rs
@@ -33,8 +33,8 @@
 pub struct Bounds {
     /// Ids remembered at once.
     pub count: usize,
-    /// How long an ended id is remembered, in microseconds. At least twice the tolerance of timestamps, or a
-    /// signature could outlive its memory.
+    /// How long an ended id is remembered, in microseconds. At least [`Bounds::keep_for`] the tolerance of
+    /// timestamps, or a signature could outlive its memory.
     pub keep: u64,
     /// Messages that may wait for one answer.
     pub waiters: usize,
@@ -42,6 +42,18 @@
     pub bytes: usize,
 }
 
+impl Bounds {
+    /// How long an id must be remembered so that no signature outlives it, in microseconds, for a tolerance in
+    /// seconds. Signed as far ahead as may be, a message is accepted from then until as far behind; timestamps are
+    /// whole seconds and the edge itself counts, which adds one: from second N it is good to the end of N + 2 x
+    /// tolerance. [`crate::Wall`], by which that is judged, may run at seven eighths of the clock that ids are
+    /// remembered by.
+    pub const fn keep_for(tolerance: u64) -> u64 {
+        let wall = tolerance.saturating_mul(2).saturating_add(1).saturating_mul(1_000_000);
+        wall.saturating_add(wall.div_ceil(crate::skew::MADE_UP - 1))
+    }
+}
+
 /// What to do with a message.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Admission<A> {
--- a/crates/badgerwind-webhook/src/sign.rs
+++ b/crates/badgerwind-webhook/src/sign.rs
@@ -138,6 +138,17 @@
         self.claim(now, id, timestamp, signature)?.check(self, now, body)
     }
 
+    /// Whether a timestamp lies within the tolerance, both edges included. To be asked again when a message whose
+    /// body took its time is held against the memory of ids: it may have grown too old since, and been forgotten.
+    pub fn in_time(&self, now: i64, sent: i64) -> Result<(), VerifyError> {
+        let apart = now.abs_diff(sent);
+        if apart <= self.tolerance {
+            return Ok(());
+        }
+        let by = apart - self.tolerance;
+        Err(if sent < now { VerifyError::TooOld { by } } else { VerifyError::TooNew { by } })
+    }
+
     /// What can be judged by the headers alone, before a body is read: their form and the time.
     pub fn claim(
         &self,
@@ -155,11 +166,7 @@
         }
         let digits = !timestamp.is_empty() && timestamp.bytes().all(|b| b.is_ascii_digit());
         let sent: i64 = timestamp.parse().ok().filter(|_| digits).ok_or(VerifyError::MalformedTimestamp)?;
-        let apart = now.abs_diff(sent);
-        if apart > self.tolerance {
-            let by = apart - self.tolerance;
-            return Err(if sent < now { VerifyError::TooOld { by } } else { VerifyError::TooNew { by } });
-        }
+        self.in_time(now, sent)?;
         let (mut shared, mut public) = (Vec::new(), Vec::new());
         for (n, part) in signature.split(' ').filter(|p| !p.is_empty()).enumerate() {
             if n >= MOST_SIGNATURES {
--- a/crates/badgerwind-webhook/src/skew.rs
+++ b/crates/badgerwind-webhook/src/skew.rs
@@ -41,3 +41,50 @@
         self.ahead(now).is_some_and(|a| a.unsigned_abs().saturating_mul(2) > tolerance)
     }
 }
+
+/// The wall clock as signatures are judged by it. A clock that is set back would make messages good again that were
+/// too old, when their ids are long forgotten: they could run a second time. So this one never goes back, nor slower
+/// than seven eighths of the monotonic clock, by which ids are remembered ([`crate::Bounds::keep_for`] counts on
+/// that). What a clock was ahead by is made up for at that pace; until then messages of right clocks may look too old,
+/// which is harmless.
+#[derive(Debug, Default)]
+pub struct Wall {
+    /// A moment of the monotonic clock, and how far the wall clock was ahead of it then, in microseconds.
+    held: Option<(u64, i64)>,
+}
+
+/// Of the time that passes, the share by which an offset may shrink.
+pub(crate) const MADE_UP: u64 = 8;
+/// Shorter times are not looked at, so that nothing is lost to rounding, in microseconds.
+const LEAST: u64 = 10_000;
+
+impl Wall {
+    /// The time to judge by, in seconds since the Unix epoch; `now` is the monotonic clock in microseconds, `reading`
+    /// the wall clock in microseconds since the epoch.
+    pub fn at(&mut self, now: u64, reading: i64) -> i64 {
+        let read = reading.saturating_sub_unsigned(now);
+        let offset = match self.held {
+            Some((at, held)) if read < held => {
+                let passed = now.saturating_sub(at);
+                if passed >= LEAST {
+                    let offset = held.saturating_sub_unsigned(passed / MADE_UP).max(read);
+                    self.held = Some((now, offset));
+                    offset
+                } else {
+                    held
+                }
+            }
+            _ => {
+                self.held = Some((now, read));
+                read
+            }
+        };
+        offset.saturating_add_unsigned(now).div_euclid(1_000_000)
+    }
+
+    /// Seconds by which a reading lies behind the time that is judged by.
+    pub fn behind(&self, now: u64, reading: i64) -> i64 {
+        let (_, held) = self.held.unwrap_or((0, i64::MIN));
+        held.saturating_sub(reading.saturating_sub_unsigned(now)).max(0) / 1_000_000
+    }
+}
--- a/crates/badgerwind-webhook/tests/clocks.rs
+++ b/crates/badgerwind-webhook/tests/clocks.rs
@@ -1,6 +1,8 @@
 //! What is told of senders' clocks.
 
-use badgerwind_webhook::Skew;
+use badgerwind_webhook::{Bounds, Key, KeyKind, KeyRing, RingKey, Skew, Wall};
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 const NOW: i64 = 1_796_000_040; // the start of a span of a minute
 
@@ -30,3 +32,84 @@
     assert_eq!(fast.ahead(NOW + 120), Some(0));
     assert_eq!(fast.ahead(NOW + 400), None, "and nothing is told of long ago");
 }
+
+const US: i64 = 1_000_000;
+
+#[test]
+fn a_clock_that_is_set_back_makes_no_old_message_good_again() {
+    let mut wall = Wall::default();
+    assert_eq!(wall.at(0, NOW * US), NOW);
+    // An hour back: time goes on, a little slower, and the hour is made up for within eight.
+    let reading = |s: u64| (NOW - 3600) * US + s as i64 * US;
+    assert_eq!(wall.at(80_000_000, reading(80)), NOW + 70);
+    assert_eq!(wall.behind(80_000_000, reading(80)), 3590);
+    for s in (80..8 * 3600 + 1).step_by(60) {
+        wall.at(s * 1_000_000, reading(s));
+    }
+    assert_eq!(wall.at(29_000_000_000, reading(29_000)), NOW - 3600 + 29_000);
+    assert_eq!(wall.behind(29_000_000_000, reading(29_000)), 0);
+    // Forth it goes at once.
+    assert_eq!(wall.at(29_000_000_000, reading(30_000)), NOW - 3600 + 30_000);
+}
+
+fn ring(key: &Key, tolerance: u64) -> KeyRing {
+    let keys = vec![RingKey { name: "k".into(), key: key.clone(), not_before: None, not_after: None }];
+    KeyRing { keys, tolerance }
+}
+
+fn good(ring: &KeyRing, now: i64, sent: i64) -> bool {
+    let signature = "v1,".to_owned() + &"A".repeat(43) + "=";
+    ring.claim(now, Some("m"), Some(&sent.to_string()), Some(&signature)).is_ok()
+}
+
+/// The whole life of a signature, in steps of 10 ms of a clock that is read in whole seconds: wherever in a second it
+/// was first taken, it is not acceptable any more once its id may be forgotten.
+#[test]
+fn no_signature_outlives_its_memory() {
+    let key = Key::generate(KeyKind::Shared).unwrap();
+    for tolerance in [1u64, 2, 300] {
+        let ring = ring(&key, tolerance);
+        for start in (0..1000).step_by(10) {
+            let (sent, first) = (NOW + tolerance as i64, NOW * 1000 + start);
+            assert!(good(&ring, first.div_euclid(1000), sent));
+            let edge = first + 2000 * tolerance as i64;
+            assert!(good(&ring, edge.div_euclid(1000), sent), "twice the tolerance later it is still good");
+            let forgotten = first + Bounds::keep_for(tolerance) as i64 / 1000;
+            assert!(
+                !good(&ring, forgotten.div_euclid(1000), sent),
+                "{tolerance} s, {start} ms into a second"
+            );
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: RngSeed::Fixed(3), ..ProptestConfig::with_cases(300) })]
+
+    /// However the wall clock is set back and forth, and however often it is looked at, no message is acceptable after
+    /// its id's memory has ended.
+    #[test]
+    fn nor_where_the_clock_is_set(
+        tolerance in 1u64..20,
+        ahead in -20i64..20,
+        steps in prop::collection::vec((prop_oneof![0u64..20_000, 0u64..3_000_000], prop_oneof![4 => Just(0i64), 1 => -30_000_000i64..30_000_000]), 1..150),
+    ) {
+        let key = Key::generate(KeyKind::Shared).unwrap();
+        let ring = ring(&key, tolerance);
+        let (mut wall, mut mono, mut set) = (Wall::default(), 0u64, 0i64);
+        let mut taken = None;
+        let sent = NOW + ahead;
+        let mut last = i64::MIN;
+        for (pass, by) in steps {
+            mono += pass;
+            set += by;
+            let now = wall.at(mono, NOW * US + mono as i64 + set);
+            prop_assert!(now >= last, "it went back");
+            last = now;
+            if good(&ring, now, sent) {
+                let first = *taken.get_or_insert(mono);
+                prop_assert!(mono < first + Bounds::keep_for(tolerance), "taken at {first}, good again at {mono}");
+            }
+        }
+    }
+}
