HTTP heads: each byte looked at once; a corpus of hostile connections and its mutants

Cause: a head was looked through from its start at each piece that came, so that single bytes cost the square of their number. Change: the end of a head is looked for as it comes, on the server's and the client's side. Shown: 600 kB in single bytes; 41 connections of a corpus, whole and in pieces; 4,000 mutants a run, read in one way or refused, with the border that a second reading gives.

--- a/crates/badgerwind-http/src/client.rs
+++ b/crates/badgerwind-http/src/client.rs
@@ -38,6 +38,9 @@
     Malformed(String),
 }
 
+/// Bytes of an answer's head.
+const HEAD_BYTES: usize = 64 * 1024;
+
 /// A request to send.
 #[derive(Clone, Debug)]
 pub struct Exchange {
@@ -194,9 +197,15 @@
         stream.write_all(&request.bytes(self.address)).await.map_err(broke)?;
         stream.flush().await.map_err(broke)?;
         let mut buf = Vec::new();
+        let mut end = head::HeadEnd::default();
         loop {
-            let read = head::response(&buf, 64 * 1024, request.method == "HEAD");
-            if let Some((head, length)) = read.map_err(|e| ExchangeError::Malformed(e.to_string()))? {
+            let malformed = |e: head::HeadError| ExchangeError::Malformed(e.to_string());
+            let read = match end.find(&buf, HEAD_BYTES).map_err(malformed)? {
+                Some(_) => head::response(&buf, HEAD_BYTES, request.method == "HEAD").map_err(malformed)?,
+                None => None,
+            };
+            if let Some((head, length)) = read {
+                end = head::HeadEnd::default();
                 buf.drain(..length);
                 if head.status < 200 {
                     continue; // RFC 9110 section 15.2: read on to the final answer
--- a/crates/badgerwind-http/src/head.rs
+++ b/crates/badgerwind-http/src/head.rs
@@ -116,27 +116,49 @@
 /// Header lines that a head may have, at the most that any limit allows.
 pub const MOST_HEADERS: usize = 128;
 
-/// Where the head ends, and that every line in it ends in CR LF: a bare CR or LF is a line end to some and
-/// none to others (RFC 9112 section 2.2). `None`: not all of it is here.
-fn end(bytes: &[u8], most: usize) -> Result<Option<usize>, HeadError> {
-    let at = bytes.windows(4).position(|w| w == b"\r\n\r\n").map(|at| at + 4);
-    let seen = &bytes[..at.unwrap_or(bytes.len()).min(most)];
-    for (n, &b) in seen.iter().enumerate() {
-        let bare = match b {
-            b'\n' => n == 0 || seen[n - 1] != b'\r',
-            b'\r' => seen.get(n + 1).is_some_and(|&next| next != b'\n'),
-            0 => return Err(HeadError::Malformed("a NUL byte")),
-            _ => false,
-        };
-        if bare {
-            return Err(HeadError::Malformed("a line must end in CR LF, and neither may stand alone"));
+/// Looks for the end of a head as it comes, and that every line in it ends in CR LF: a bare CR or LF is a line end to
+/// some and none to others (RFC 9112 section 2.2). Each byte is looked at once, however small the pieces are in which
+/// a head comes: a sender of single bytes must not cost the square of what it sends.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct HeadEnd {
+    /// Bytes looked at.
+    seen: usize,
+}
+
+impl HeadEnd {
+    /// Looks at what is new in `bytes`, which holds what it held before and perhaps more. The head's length once it is
+    /// whole, `None` while it is not.
+    pub fn find(&mut self, bytes: &[u8], most: usize) -> Result<Option<usize>, HeadError> {
+        while self.seen < bytes.len().min(most) {
+            let n = self.seen;
+            let bare = match bytes[n] {
+                b'\n' => n == 0 || bytes[n - 1] != b'\r',
+                b'\r' => match bytes.get(n + 1) {
+                    // What follows it has not come yet.
+                    None => break,
+                    Some(next) => *next != b'\n',
+                },
+                0 => return Err(HeadError::Malformed("a NUL byte")),
+                _ => false,
+            };
+            if bare {
+                return Err(HeadError::Malformed("a line must end in CR LF, and neither may stand alone"));
+            }
+            self.seen = n + 1;
+            if bytes[..=n].ends_with(b"\r\n\r\n") {
+                return Ok(Some(n + 1));
+            }
+        }
+        if bytes.len() < most {
+            Ok(None)
+        } else {
+            Err(HeadError::TooLong { most })
         }
     }
-    match at {
-        Some(at) if at <= most => Ok(Some(at)),
-        None if bytes.len() < most => Ok(None),
-        _ => Err(HeadError::TooLong { most }),
-    }
+}
+
+fn end(bytes: &[u8], most: usize) -> Result<Option<usize>, HeadError> {
+    HeadEnd::default().find(bytes, most)
 }
 
 fn refused(e: httparse::Error, most: usize) -> HeadError {
--- a/crates/badgerwind-http/src/server.rs
+++ b/crates/badgerwind-http/src/server.rs
@@ -187,14 +187,19 @@
             }
         }
         within(limits.head_time, "head", async {
+            let mut end = head::HeadEnd::default();
             loop {
                 // Empty lines before a request line are passed over (RFC 9112 section 2.2).
                 while self.buf.starts_with(b"\r\n") {
                     self.buf.drain(..2);
+                    end = head::HeadEnd::default();
                 }
-                if let Some((head, length)) = head::request(&self.buf, limits.head_bytes, limits.headers)? {
-                    self.buf.drain(..length);
-                    return Ok(Some(head));
+                if end.find(&self.buf, limits.head_bytes)?.is_some() {
+                    if let Some((head, length)) = head::request(&self.buf, limits.head_bytes, limits.headers)?
+                    {
+                        self.buf.drain(..length);
+                        return Ok(Some(head));
+                    }
                 }
                 if !self.fill(PIECE).await? {
                     return if self.buf.is_empty() { Ok(None) } else { Err(ServeError::Closed) };
--- /dev/null
+++ b/crates/badgerwind-http/tests/corpus.rs
@@ -0,0 +1,362 @@
+//! A corpus of requests that are oversized, cut, pipelined, or shaped so that two parties on a path could disagree about
+//! where a message ends; whole, in pieces, and mutated.
+
+use badgerwind_http::head::{request, HeadEnd};
+use badgerwind_http::*;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+
+const HEAD_BYTES: usize = 2048;
+const BODY_BYTES: usize = 4096;
+
+/// What a connection's bytes come to: each message's target and body, then how it ended.
+#[derive(Debug, PartialEq)]
+struct Read {
+    messages: Vec<(String, Vec<u8>)>,
+    ended: Ended,
+}
+
+#[derive(Debug, PartialEq)]
+enum Ended {
+    /// Between messages.
+    Clean,
+    /// More was to come.
+    Cut,
+    /// Refused with a status.
+    Refused(u16),
+}
+
+/// Reads a connection's bytes, coming in pieces of at most `step`.
+fn read(bytes: &[u8], step: usize) -> Read {
+    let (mut messages, mut buf, mut left) = (Vec::new(), Vec::new(), bytes);
+    let more = |buf: &mut Vec<u8>, left: &mut &[u8]| {
+        let n = step.min(left.len());
+        buf.extend_from_slice(&left[..n]);
+        *left = &left[n..];
+        n > 0
+    };
+    loop {
+        let mut end = HeadEnd::default();
+        let head = loop {
+            match end.find(&buf, HEAD_BYTES).and_then(|_| request(&buf, HEAD_BYTES, 16)) {
+                Err(e) => return Read { messages, ended: Ended::Refused(e.status()) },
+                Ok(Some((head, length))) => {
+                    buf.drain(..length);
+                    break head;
+                }
+                Ok(None) if more(&mut buf, &mut left) => {}
+                Ok(None) => {
+                    let ended = if buf.is_empty() { Ended::Clean } else { Ended::Cut };
+                    return Read { messages, ended };
+                }
+            }
+        };
+        let mut body = match Body::new(head.framing, BODY_BYTES) {
+            Ok(body) => body,
+            Err(_) => return Read { messages, ended: Ended::Refused(413) },
+        };
+        let mut out = Vec::new();
+        loop {
+            match body.take(&buf, &mut out) {
+                Ok(used) => _ = buf.drain(..used),
+                Err(BodyError::TooLong { .. }) => return Read { messages, ended: Ended::Refused(413) },
+                Err(_) => return Read { messages, ended: Ended::Refused(400) },
+            }
+            if body.is_done() {
+                break;
+            }
+            if !more(&mut buf, &mut left) {
+                return Read { messages, ended: Ended::Cut };
+            }
+        }
+        messages.push((head.target, out));
+    }
+}
+
+/// Bytes of a connection, the targets of the messages that they hold, and how it ends.
+fn corpus() -> Vec<(&'static str, Vec<u8>, Vec<&'static str>, Ended)> {
+    let long = |n: usize| "x".repeat(n);
+    let post =
+        |lines: &str, rest: &str| format!("POST /a HTTP/1.1\r\nhost: a\r\n{lines}\r\n{rest}").into_bytes();
+    let hidden = "GET /hidden HTTP/1.1\r\nhost: a\r\n\r\n";
+    let bad = || Ended::Refused(400);
+    vec![
+        (
+            "two in a row",
+            post("content-length: 3\r\n", &format!("abc{hidden}")),
+            vec!["/a", "/hidden"],
+            Ended::Clean,
+        ),
+        (
+            "a body that looks like a request",
+            post(&format!("content-length: {}\r\n", hidden.len()), hidden),
+            vec!["/a"],
+            Ended::Clean,
+        ),
+        (
+            "a chunk that looks like one",
+            post("transfer-encoding: chunked\r\n", &format!("{:x}\r\n{hidden}\r\n0\r\n\r\n", hidden.len())),
+            vec!["/a"],
+            Ended::Clean,
+        ),
+        (
+            "length and chunks",
+            post("content-length: 5\r\ntransfer-encoding: chunked\r\n", &format!("0\r\n\r\n{hidden}")),
+            vec![],
+            bad(),
+        ),
+        (
+            "chunks and length",
+            post("transfer-encoding: chunked\r\ncontent-length: 5\r\n", &format!("0\r\n\r\n{hidden}")),
+            vec![],
+            bad(),
+        ),
+        ("two lengths", post("content-length: 0\r\ncontent-length: 44\r\n", hidden), vec![], bad()),
+        ("two lengths in a line", post("content-length: 0, 44\r\n", hidden), vec![], bad()),
+        ("a length in hexadecimal", post("content-length: 0x0\r\n", hidden), vec![], bad()),
+        ("a length below nothing", post("content-length: -1\r\n", hidden), vec![], bad()),
+        ("a length with a sign", post("content-length: +0\r\n", hidden), vec![], bad()),
+        ("a length with a space inside", post("content-length: 0 0\r\n", hidden), vec![], bad()),
+        ("a length in other digits", post("content-length: \u{0661}\r\n", hidden), vec![], bad()),
+        ("a name with a space behind", post("content-length : 0\r\n", hidden), vec![], bad()),
+        ("a name with a tab behind", post("transfer-encoding\t: chunked\r\n", hidden), vec![], bad()),
+        ("a folded line", post("x: a\r\n content-length: 0\r\n", hidden), vec![], bad()),
+        ("a line end of LF", b"POST /a HTTP/1.1\nhost: a\n\n".to_vec(), vec![], bad()),
+        ("a line end of LF before the last", post("x: y\ncontent-length: 44\r\n", hidden), vec![], bad()),
+        ("a CR inside a value", post("x: y\rcontent-length: 44\r\n", hidden), vec![], bad()),
+        ("a NUL inside a value", post("x: y\0\r\n", ""), vec![], bad()),
+        (
+            "codings in two lines",
+            post("transfer-encoding: chunked\r\ntransfer-encoding: identity\r\n", "0\r\n\r\n"),
+            vec![],
+            Ended::Refused(501),
+        ),
+        ("identity", post("transfer-encoding: identity\r\n", hidden), vec![], Ended::Refused(501)),
+        (
+            "a coding with a mark before",
+            post("transfer-encoding: \x0bchunked\r\n", "0\r\n\r\n"),
+            vec![],
+            bad(),
+        ),
+        (
+            "chunks in HTTP/1.0",
+            b"POST /a HTTP/1.0\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n".to_vec(),
+            vec![],
+            bad(),
+        ),
+        ("two hosts", b"GET /a HTTP/1.1\r\nhost: a\r\nhost: b\r\n\r\n".to_vec(), vec![], bad()),
+        ("no host", b"GET /a HTTP/1.1\r\n\r\n".to_vec(), vec![], bad()),
+        (
+            "a chunk's size with a sign",
+            post("transfer-encoding: chunked\r\n", "+3\r\nabc\r\n0\r\n\r\n"),
+            vec![],
+            bad(),
+        ),
+        (
+            "a chunk's size in hexadecimal form",
+            post("transfer-encoding: chunked\r\n", "0x3\r\nabc\r\n0\r\n\r\n"),
+            vec![],
+            bad(),
+        ),
+        (
+            "a chunk that is longer than it says",
+            post("transfer-encoding: chunked\r\n", "3\r\nabcd\r\n0\r\n\r\n"),
+            vec![],
+            bad(),
+        ),
+        (
+            "a chunk's line that ends in LF",
+            post("transfer-encoding: chunked\r\n", "3\nabc\r\n0\r\n\r\n"),
+            vec![],
+            bad(),
+        ),
+        (
+            "a chunk's size beyond all numbers",
+            post("transfer-encoding: chunked\r\n", "fffffffffffffffff\r\n"),
+            vec![],
+            bad(),
+        ),
+        (
+            "chunks without the last",
+            post("transfer-encoding: chunked\r\n", "3\r\nabc\r\n"),
+            vec![],
+            Ended::Cut,
+        ),
+        ("half a head", b"POST /a HTTP/1.1\r\nhost: a\r\n".to_vec(), vec![], Ended::Cut),
+        ("half a body", post("content-length: 5\r\n", "abc"), vec![], Ended::Cut),
+        (
+            "a head without end",
+            format!("GET /{} HTTP/1.1\r\n", long(3000)).into_bytes(),
+            vec![],
+            Ended::Refused(431),
+        ),
+        ("a header without end", post(&format!("x: {}", long(3000)), ""), vec![], Ended::Refused(431)),
+        ("lines without number", post(&"x: y\r\n".repeat(40), ""), vec![], Ended::Refused(431)),
+        ("a body beyond the bound", post("content-length: 5000\r\n", ""), vec![], Ended::Refused(413)),
+        (
+            "chunks beyond the bound",
+            post("transfer-encoding: chunked\r\n", &format!("fff\r\n{}\r\n2\r\nab\r\n0\r\n\r\n", long(4095))),
+            vec![],
+            Ended::Refused(413),
+        ),
+        ("another protocol", b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03".to_vec(), vec![], bad()),
+        ("HTTP/2's preface", b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".to_vec(), vec![], bad()),
+        (
+            "a proxy's line",
+            b"PROXY TCP4 192.0.2.1 192.0.2.2 1 2\r\nGET /a HTTP/1.1\r\nhost: a\r\n\r\n".to_vec(),
+            vec![],
+            bad(),
+        ),
+    ]
+}
+
+#[test]
+fn each_is_read_in_one_way_however_it_is_cut() {
+    for (what, bytes, targets, ended) in corpus() {
+        let whole = read(&bytes, usize::MAX);
+        let seen: Vec<&str> = whole.messages.iter().map(|m| m.0.as_str()).collect();
+        assert_eq!((seen, &whole.ended), (targets, &ended), "{what}");
+        for step in [1, 2, 3, 7, 100] {
+            let cut = read(&bytes, step);
+            // Where bytes beyond a bound have come or not, the bound may be met before the fault is.
+            let bounds = |e: &Ended| matches!(e, Ended::Refused(431 | 413 | 400));
+            assert!(
+                cut == whole
+                    || (cut.messages == whole.messages && bounds(&cut.ended) && bounds(&whole.ended)),
+                "{what} by {step}: {cut:?}"
+            );
+        }
+    }
+}
+
+/// A head that comes byte by byte costs what it is long, not the square of it: at this length the square would take
+/// minutes.
+#[test]
+fn a_head_in_single_bytes_costs_no_more_than_its_length() {
+    let text = format!("GET / HTTP/1.1\r\nhost: a\r\n{}\r\n", "a: b\r\n".repeat(100_000));
+    let began = std::time::Instant::now();
+    let (mut end, bytes) = (HeadEnd::default(), text.as_bytes());
+    for n in 1..bytes.len() {
+        assert_eq!(end.find(&bytes[..n], 1 << 20), Ok(None));
+    }
+    assert_eq!(end.find(bytes, 1 << 20), Ok(Some(bytes.len())));
+    assert!(began.elapsed().as_secs() < 20);
+}
+
+/// What is done to a corpus entry.
+#[derive(Clone, Debug)]
+enum Change {
+    Set(usize, u8),
+    Insert(usize, u8),
+    Remove(usize, usize),
+    Repeat(usize, usize),
+    Splice(usize, usize, usize),
+    Token(usize, usize),
+}
+
+/// Words that parsers trip over.
+const TOKENS: [&[u8]; 12] = [
+    b"\r\n",
+    b"\n",
+    b"\r",
+    b"\r\n\r\n",
+    b"content-length: 0\r\n",
+    b"transfer-encoding: chunked\r\n",
+    b"0\r\n\r\n",
+    b" ",
+    b"\t",
+    b"\0",
+    b"HTTP/1.0",
+    b"host: a\r\n",
+];
+
+fn change() -> impl Strategy<Value = Change> {
+    let at = 0usize..4096;
+    prop_oneof![
+        (at.clone(), any::<u8>()).prop_map(|(n, b)| Change::Set(n, b)),
+        (at.clone(), any::<u8>()).prop_map(|(n, b)| Change::Insert(n, b)),
+        (at.clone(), 1usize..40).prop_map(|(n, k)| Change::Remove(n, k)),
+        (at.clone(), 1usize..40).prop_map(|(n, k)| Change::Repeat(n, k)),
+        (at.clone(), 0usize..64, at.clone()).prop_map(|(n, w, m)| Change::Splice(n, w, m)),
+        (at, 0usize..TOKENS.len()).prop_map(|(n, t)| Change::Token(n, t)),
+    ]
+}
+
+fn apply(mut bytes: Vec<u8>, change: &Change, all: &[Vec<u8>]) -> Vec<u8> {
+    let place = |n: usize, len: usize| n % (len + 1);
+    match *change {
+        Change::Set(n, b) if !bytes.is_empty() => {
+            let n = n % bytes.len();
+            bytes[n] = b;
+        }
+        Change::Set(..) => {}
+        Change::Insert(n, b) => bytes.insert(place(n, bytes.len()), b),
+        Change::Remove(n, k) => {
+            let from = place(n, bytes.len());
+            let to = (from + k).min(bytes.len());
+            bytes.drain(from..to);
+        }
+        Change::Repeat(n, k) => {
+            let from = place(n, bytes.len());
+            let piece = bytes[from..(from + k).min(bytes.len())].to_vec();
+            bytes.splice(from..from, piece);
+        }
+        Change::Splice(n, which, m) => {
+            let other = &all[which % all.len()];
+            bytes.truncate(place(n, bytes.len()));
+            bytes.extend_from_slice(&other[place(m, other.len())..]);
+        }
+        Change::Token(n, t) => {
+            let at = place(n, bytes.len());
+            bytes.splice(at..at, TOKENS[t].iter().copied());
+        }
+    }
+    bytes
+}
+
+/// A second reading of a whole head, by httparse alone and RFC 9112 section 6.3 in its plainest words: how many bytes
+/// of body follow, where that can be said at all. What ours accepts it must accept, with the same border.
+fn second(bytes: &[u8]) -> Option<(usize, Framing)> {
+    let mut space = [httparse::EMPTY_HEADER; 64];
+    let mut parsed = httparse::Request::new(&mut space);
+    let Ok(httparse::Status::Complete(length)) = parsed.parse(bytes) else { return None };
+    let values = |name: &str| -> Vec<String> {
+        let all = parsed.headers.iter().filter(|h| h.name.eq_ignore_ascii_case(name));
+        all.map(|h| String::from_utf8_lossy(h.value).trim().to_lowercase()).collect()
+    };
+    let (codings, lengths) = (values("transfer-encoding"), values("content-length"));
+    match (codings.as_slice(), lengths.as_slice()) {
+        ([], []) => Some((length, Framing::Length(0))),
+        ([c], []) if c == "chunked" => Some((length, Framing::Chunked)),
+        ([], [l]) => Some((length, Framing::Length(l.parse().ok()?))),
+        _ => None,
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { failure_persistence: None, rng_seed: RngSeed::Fixed(9), ..ProptestConfig::with_cases(4_000) })]
+
+    #[test]
+    fn mutants_are_read_in_one_way_or_refused(which in 0usize..64, changes in prop::collection::vec(change(), 1..8), step in 1usize..60) {
+        let all: Vec<Vec<u8>> = corpus().into_iter().map(|c| c.1).collect();
+        let start = all[which % all.len()].clone();
+        let bytes = changes.iter().fold(start, |b, c| apply(b, c, &all));
+        // How it is cut changes no message, only, near a bound, which of its faults is met first.
+        let (whole, cut) = (read(&bytes, usize::MAX), read(&bytes, step));
+        prop_assert_eq!(&whole.messages, &cut.messages);
+        prop_assert_eq!(matches!(whole.ended, Ended::Clean), matches!(cut.ended, Ended::Clean));
+        // What is taken as a head has the border that another reading gives it.
+        if let Ok(Some((head, length))) = request(&bytes, HEAD_BYTES, 16) {
+            prop_assert_eq!(second(&bytes), Some((length, head.framing)));
+            prop_assert!(!head.headers.all("content-length").any(|_| head.framing == Framing::Chunked));
+        }
+        // A head comes to the same in pieces as whole.
+        let (mut end, mut found) = (HeadEnd::default(), Ok(None));
+        for n in 1..=bytes.len() {
+            found = end.find(&bytes[..n], HEAD_BYTES);
+            if !matches!(found, Ok(None)) { break; }
+        }
+        let at_once = HeadEnd::default().find(&bytes, HEAD_BYTES);
+        prop_assert_eq!(found.ok().flatten(), at_once.ok().flatten());
+    }
+}
