Module: a cold worker's budget follows what workers ever bore, not what is asked for

What warm workers bear was read from arrivals, among them repeats that no client marked; demand of three times the capacity tripled the budget. Change: the budget goes by the smaller of what is asked for and the most that workers ever answered well, a unit of size. Also guards against bursts and retry storms; it may be slow to follow a fleet that grew faster.

--- a/crates/badgerwind/src/choice.rs
+++ b/crates/badgerwind/src/choice.rs
@@ -390,7 +390,9 @@
     fn cold_room(&self, w: &Worker) -> bool {
         let capacity = self.capacity(w);
         let sizes: f64 = self.m.ready().map(|w| w.size).sum();
-        let bears = self.m.rate.get(self.now, self.keep()) * w.size / sizes.max(w.size);
+        // Guards against demand beyond capacity: only what was ever served shows what they can bear.
+        let asked = self.m.rate.get(self.now, self.keep()) / sizes.max(w.size);
+        let bears = w.size * if self.m.borne > 0.0 { asked.min(self.m.borne) } else { asked };
         let budget =
             bears * capacity * self.set.fall_window as f64 / 1e6 * self.set.fall_multiple * COLD_SHARE;
         let sent = w.sends.since(self.now.saturating_sub(self.set.fall_window));
@@ -576,6 +578,11 @@
         let free = outcome == Outcome::Miss || outcome == Outcome::Full && few;
         let Some(a) = self.m.end_attempt(id, attempt, outcome, free) else { return };
         let (worker, own, waited) = (a.worker, a.own, self.now - a.sent);
+        if outcome == Outcome::Ok {
+            let (keep, sizes) = (self.keep(), self.m.ready().map(|w| w.size).sum::<f64>());
+            self.m.served.add(self.now, keep, 1e6 / keep);
+            self.m.borne = self.m.borne.max(self.m.served.get(self.now, keep) / sizes.max(1.0));
+        }
         let (f, kinds) = (self.m.open[id].function, self.m.open[id].kinds());
         self.learn(f, kinds, worker, told, (own, waited));
         let open = &self.m.open[id];
--- a/crates/badgerwind/tests/module.rs
+++ b/crates/badgerwind/tests/module.rs
@@ -425,3 +425,55 @@
     assert!(home(1).is_some());
     assert_eq!(home(1), home(2));
 }
+
+/// Demand far beyond capacity, most of it repeats that nobody marked, was taken for what the workers bear: a cold one
+/// was sent four times its share.
+#[test]
+fn demand_beyond_capacity_does_not_push_a_cold_worker_over() {
+    let mut set = settings(Effect::Repeatable);
+    set.when_absent = WhenAbsent::Load;
+    (set.front_ends, set.max_attempts) = (1, 2);
+    let mut b = Bench::new(set, 4);
+    // Four warm workers that do ten calls a second each and turn the rest away; two hundred a second are asked for.
+    let mut next_free = [b.now; 5];
+    let (born, mut sends) = (b.now + 12_000 * MS, Vec::new());
+    let mut listed = false;
+    for n in 0..3_200u64 {
+        if b.now >= born && !listed {
+            listed = true;
+            b.event(Event::List {
+                kind: ListKind::Changes,
+                entries: vec![entry(5, Availability::Ready, Some(born))],
+            });
+        }
+        b.ask(&format!("{n}"), &format!("f{}", n % 8), 3000 * MS);
+        b.pass(5 * MS);
+        let now = b.now;
+        let out: Vec<(String, u32, WorkerId, u64)> = b
+            .tried
+            .iter()
+            .flat_map(|(id, all)| {
+                let last = all.last().filter(|t| t.ended.is_none() && !t.called_off);
+                last.map(|t| (id.to_string(), all.len() as u32 - 1, t.worker, t.at))
+            })
+            .collect();
+        for (id, attempt, worker, at) in out {
+            if worker == 5 {
+                sends.push(at);
+                b.answer(&id, attempt, Outcome::Ok, CopyMark::BeganLoad);
+            } else if next_free[worker as usize] <= now {
+                next_free[worker as usize] = now + 100 * MS;
+                b.answer(&id, attempt, Outcome::Ok, CopyMark::Warm);
+            } else if now >= at + 300 * MS {
+                b.answer(&id, attempt, Outcome::Full, CopyMark::Untold);
+            }
+        }
+    }
+    assert!(!sends.is_empty(), "the cold worker is not shunned");
+    for &from in &sends {
+        let within = sends.iter().filter(|&&t| t >= from && t < from + 1_500 * MS).count() as f64;
+        let age = (from + 1_500 * MS - born) as f64 / 15e6;
+        let most = 2.5 * 10.0 * 1.5 * (0.2 + 0.8 * age.min(1.0));
+        assert!(within <= most, "{within} sends of {most} at {age} of the warming");
+    }
+}
