--- a/crates/badgerwind-check/src/judge.rs
+++ b/crates/badgerwind-check/src/judge.rs
@@ -19,6 +19,9 @@
 }
 
 impl Rule {
+    /// All.
+    pub const ALL: [Rule; 5] = [Rule::Answer, Rule::Effect, Rule::Drain, Rule::Cold, Rule::Loads];
+
     /// Its name in reports.
     pub fn name(self) -> &'static str {
         match self {
@@ -59,9 +62,36 @@
     pub unreached: usize,
 }
 
+/// How a day tested a rule.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Near {
+    /// Events that could have broken it.
+    pub events: usize,
+    /// Of its limit, the largest share that was used up; more than 1 is within what writers' clocks may differ by, or
+    /// broken.
+    pub closest: f64,
+}
+
+impl Near {
+    fn see(&mut self, share: f64) {
+        self.events += 1;
+        self.closest = self.closest.max(share);
+    }
+
+    /// From this share on a rule was tested: the limit was near enough for a careless front end to have broken it.
+    pub const EXERCISED: f64 = 0.75;
+
+    /// Whether the day came near the rule's limit at all.
+    pub fn is_exercised(&self) -> bool {
+        self.closest >= Near::EXERCISED
+    }
+}
+
 /// What the record shows.
 #[derive(Clone, Debug, Default)]
 pub struct Report {
+    /// How near each rule came to its limit.
+    pub near: BTreeMap<Rule, Near>,
     /// Rules broken, by time.
     pub broken: Vec<Broken>,
     /// Service by class.
@@ -98,8 +128,13 @@
     finished: bool,
     /// For fenced classes: it was let in.
     began: bool,
+    /// Its runner answered that all was well.
+    told_ok: bool,
 }
 
+/// A runner that a front end sent to within this time before it drained counts as used, in microseconds.
+const RECENT: u64 = 500_000;
+
 /// Judges a record. Lines may stand in any order.
 pub fn judge(facts: &Facts, lines: &[Line]) -> Report {
     let mut sorted: Vec<&Line> = lines.iter().collect();
@@ -154,12 +189,14 @@
                         over: None,
                         finished: false,
                         began: false,
+                        told_ok: false,
                     });
                 }
                 What::Replied { runner, request, attempt, outcome } => {
                     if let Some(&n) = by_attempt.get(&(*runner, request.as_str(), *attempt)) {
                         let never_ran = outcome == "full" || outcome == "miss";
                         attempts[n].over.get_or_insert((at, never_ran));
+                        attempts[n].told_ok |= outcome == "ok";
                     }
                 }
                 What::Left { runner, request, attempt } => {
@@ -187,7 +224,8 @@
                 _ => {}
             }
         }
-        let report = Report { attempts: attempts.len(), ..Report::default() };
+        let near = Rule::ALL.into_iter().map(|r| (r, Near::default())).collect();
+        let report = Report { attempts: attempts.len(), near, ..Report::default() };
         Judge { facts, tries, attempts, killed, report }
     }
 
@@ -204,7 +242,11 @@
     /// Rule 1: every try that reached a front end that lived has one final answer by its due time.
     fn answers(&mut self) {
         let mut found = Vec::new();
+        let mut near = self.report.near.remove(&Rule::Answer).unwrap_or_default();
         for t in &self.tries {
+            if let Some((at, Answer::Served | Answer::Refused | Answer::Failed, _)) = t.end {
+                near.see((at - t.sent) as f64 / t.due.saturating_sub(t.sent).max(1) as f64);
+            }
             let text = match t.end {
                 Some((at, Answer::Served | Answer::Refused | Answer::Failed, _)) if at <= t.due => continue,
                 Some((_, Answer::Rejected | Answer::Unreached, _)) => continue,
@@ -216,6 +258,7 @@
             let text = format!("{} to front end {} sent {}, due {}: {text}", t.call, t.front, t.sent, t.due);
             found.push((t.due, text));
         }
+        self.report.near.insert(Rule::Answer, near);
         found.into_iter().for_each(|(at, text)| self.broken(Rule::Answer, at, text));
     }
 
@@ -239,8 +282,14 @@
             by_call.entry(a.call).or_default().push(a);
         }
         let name = |a: &Attempt<'_>| format!("attempt {}/{} at runner {}", a.request, a.number, a.runner);
+        let mut near = self.report.near.remove(&Rule::Effect).unwrap_or_default();
         for (call, all) in &by_call {
             let Some(class) = self.facts.classes.get(all[0].class) else { continue };
+            // A lodgement whose attempt ended otherwise than well, though it may have run, tempts to a second one.
+            if class.effect == Effect::Once {
+                let doubt = |a: &&Attempt<'_>| !a.over.is_some_and(|(_, never_ran)| never_ran) && !a.told_ok;
+                near.see(if all.iter().any(doubt) { 1.0 } else { 0.0 });
+            }
             if class.effect == Effect::Once && all.iter().filter(|a| a.finished).count() > 1 {
                 let ran: Vec<String> = all.iter().filter(|a| a.finished).map(|a| name(a)).collect();
                 found.push((all[0].arrived, format!("{call} ran more than once: {}", ran.join(", "))));
@@ -288,6 +337,7 @@
                 }
             }
         }
+        self.report.near.insert(Rule::Effect, near);
         // A refusal says that trying again is harmless.
         for t in &self.tries {
             let Some((at, Answer::Refused, _)) = t.end else { continue };
@@ -316,14 +366,25 @@
         let limit = self.facts.drain_grace + self.facts.transit;
         let mut found = Vec::new();
         let mut in_grace = 0;
+        // By front end and runner: when it last sent there. A runner that drains without having been used tests nothing.
+        let mut used: BTreeMap<(u32, u32), u64> = BTreeMap::new();
+        let mut near = self.report.near.remove(&Rule::Drain).unwrap_or_default();
         for line in lines {
+            if let What::Arrived { front, runner, .. } = &line.what {
+                used.insert((*front, *runner), line.at);
+            }
             let (front, runner, what) = match &line.what {
                 What::Listed { front, runner, state: State::Ready } => {
                     stop.remove(&(*front, *runner));
                     continue;
                 }
                 What::Listed { front, runner, .. } => {
-                    stop.entry((*front, *runner)).or_insert(line.at);
+                    let key = (*front, *runner);
+                    if !stop.contains_key(&key) {
+                        let recent = used.get(&key).is_some_and(|at| at + RECENT >= line.at);
+                        near.see(if recent { 1.0 } else { 0.0 });
+                    }
+                    stop.entry(key).or_insert(line.at);
                     continue;
                 }
                 What::Arrived { front, runner, request, attempt, .. } => {
@@ -347,6 +408,7 @@
             }
         }
         self.report.in_grace = in_grace;
+        self.report.near.insert(Rule::Drain, near);
         found.into_iter().for_each(|(at, text)| self.broken(Rule::Drain, at, text));
     }
 
@@ -356,6 +418,7 @@
         let mut started: BTreeMap<u32, u64> = BTreeMap::new();
         let mut sent: BTreeMap<u32, Vec<(u64, f64)>> = BTreeMap::new();
         let (mut found, mut told) = (Vec::new(), BTreeSet::new());
+        let mut near = self.report.near.remove(&Rule::Cold).unwrap_or_default();
         for line in lines {
             match &line.what {
                 What::RunnerStarted { runner } => {
@@ -381,6 +444,7 @@
                     let sum: f64 = sent.iter().map(|s| s.1).sum();
                     // One call more than the budget is chance, not a push.
                     let most = multiple * share * facts.capacity * window as f64 + work;
+                    near.see(sum / most.max(1.0));
                     if sum > most && told.insert(*runner) {
                         let text = format!(
                             "runner {runner}, {} ms after its start, was sent {:.0} ms of work in {} ms, {:.0} at most",
@@ -395,6 +459,7 @@
                 _ => {}
             }
         }
+        self.report.near.insert(Rule::Cold, near);
         found.into_iter().for_each(|(at, text)| self.broken(Rule::Cold, at, text));
     }
 
@@ -402,6 +467,7 @@
     /// killed remembers neither, and the rule is one that it can keep on its own: each life counts by itself.
     fn loads(&mut self, lines: &[&Line]) {
         let Loads { window, free, share } = self.facts.loads;
+        let mut near = self.report.near.remove(&Rule::Loads).unwrap_or_default();
         let mut orders: BTreeMap<u32, Vec<u64>> = BTreeMap::new();
         let mut taken: BTreeMap<u32, Vec<u64>> = BTreeMap::new();
         let mut found = Vec::new();
@@ -423,6 +489,8 @@
                     let from = line.at.saturating_sub(window + self.facts.transit);
                     let calls = taken.get(front).map_or(0, |t| t.iter().filter(|&&at| at >= from).count());
                     let most = free + share * calls as f64;
+                    // The rule is whole orders: one fewer than would break it is the nearest that can be.
+                    near.see(own.len() as f64 / most.floor().max(1.0));
                     if own.len() as f64 > most {
                         let text = format!(
                             "front end {front} ordered {function} at runner {runner}: {} orders in {} ms, {most:.1} at most",
@@ -435,6 +503,7 @@
                 _ => {}
             }
         }
+        self.report.near.insert(Rule::Loads, near);
         found.into_iter().for_each(|(at, text)| self.broken(Rule::Loads, at, text));
     }
 
--- a/crates/badgerwind-check/src/lib.rs
+++ b/crates/badgerwind-check/src/lib.rs
@@ -7,5 +7,5 @@
 mod judge;
 mod record;
 
-pub use judge::{judge, Broken, Report, Rule, Service};
+pub use judge::{judge, Broken, Near, Report, Rule, Service};
 pub use record::{read, Answer, ClassFacts, Effect, Facts, Group, Line, Loads, RunnerFacts, State, What};
--- a/crates/badgerwind-check/tests/edges.rs
+++ b/crates/badgerwind-check/tests/edges.rs
@@ -262,3 +262,45 @@
     assert_eq!(read(&format!("{text}\n\n{text}\n")).unwrap(), [line.clone(), line]);
     assert!(read(&format!("{text}\nnonsense")).unwrap_err().starts_with("line 2"));
 }
+
+fn near(lines: &[Line], rule: Rule) -> Near {
+    judge(&facts(), lines).near[&rule]
+}
+
+#[test]
+fn how_near_a_rule_came_to_its_limit_is_told_and_a_quiet_day_exercises_none() {
+    let quiet = [sent(0, "a", "lodge"), arrived(10, 1, "a", 0, "lodge"), replied(20, 1, "a", 0, "ok")];
+    let quiet = [&quiet[..], &[told(30, "a", Answer::Served)]].concat();
+    let report = judge(&facts(), &quiet);
+    assert!(report.broken.is_empty());
+    for rule in Rule::ALL {
+        assert!(!report.near[&rule].is_exercised(), "{}: {:?}", rule.name(), report.near[&rule]);
+    }
+    // An answer at nine tenths of its time.
+    let late = [sent(0, "a", "check"), told(27 * S / 10, "a", Answer::Served)];
+    assert_eq!(near(&late, Rule::Answer), Near { events: 1, closest: 0.9 });
+    // A lodgement whose attempt ended without a word.
+    let doubt = [sent(0, "a", "lodge"), arrived(10, 1, "a", 0, "lodge"), left(S, 1, "a", 0)];
+    assert!(near(&doubt, Rule::Effect).is_exercised());
+    let full = [sent(0, "a", "lodge"), arrived(10, 1, "a", 0, "lodge"), replied(S, 1, "a", 0, "full")];
+    assert!(!near(&full, Rule::Effect).is_exercised(), "proof leaves no temptation");
+    // A drain of a runner in use, and of one that was not.
+    let drains = |at| line(at, What::Listed { front: 0, runner: 1, state: State::Draining });
+    let used = arrived(S, 1, "a", 0, "check");
+    assert!(near(&[used.clone(), drains(S + 400_000)], Rule::Drain).is_exercised());
+    assert!(!near(&[used, drains(2 * S)], Rule::Drain).is_exercised());
+    // A cold runner: 2.5 times 0.2 of 2 cores for a second bear a second of work, and one call more.
+    let cold = |calls: u64| -> Vec<Line> {
+        let start = line(0, What::RunnerStarted { runner: 1 });
+        let calls = (0..calls).map(|n| arrived(n + 1, 1, &format!("c{n}"), 0, "check"));
+        [start].into_iter().chain(calls).collect()
+    };
+    assert!(!near(&cold(5), Rule::Cold).is_exercised());
+    assert!(near(&cold(9), Rule::Cold).is_exercised());
+    assert!(rules(&cold(11)).is_empty());
+    assert_eq!(rules(&cold(12)), [Rule::Cold]);
+    // Load orders: two are free.
+    let order = |at| line(at, What::Ordered { front: 0, runner: 1, function: "f".into(), copies: 1 });
+    assert!(!near(&[order(1)], Rule::Loads).is_exercised());
+    assert!(near(&[order(1), order(2)], Rule::Loads).is_exercised());
+}
--- a/crates/badgerwind-cli/src/day/mod.rs
+++ b/crates/badgerwind-cli/src/day/mod.rs
@@ -8,12 +8,12 @@
 use crate::Stop;
 use badgerwind_check::{judge, read, Line, Report};
 use fleet::{Fleet, Programs};
-use script::{Script, KINDS};
+use script::{Script, KINDS, WORST};
 use serde_json::json;
 use std::path::{Path, PathBuf};
 use std::thread::sleep;
 use std::time::{Duration, Instant};
-use world::World;
+use world::{Dials, Severity, World};
 
 /// Arguments of `bad-day`.
 #[derive(clap::Args, Debug, Clone)]
@@ -24,6 +24,18 @@
     /// How long calls come
     #[arg(long, default_value_t = 30, value_parser = clap::value_parser!(u64).range(5..=600))]
     pub seconds: u64,
+    /// How hard the day is
+    #[arg(long, value_enum, default_value = "calm")]
+    pub severity: Severity,
+    /// Work asked for, as a multiple of what the runners can do; drawn by severity where it is left out
+    #[arg(long, value_parser = load)]
+    pub load: Option<f64>,
+    /// Front ends
+    #[arg(long, value_parser = clap::value_parser!(u32).range(1..=24))]
+    pub fronts: Option<u32>,
+    /// Runners
+    #[arg(long, value_parser = clap::value_parser!(u32).range(2..=60))]
+    pub runners: Option<u32>,
     /// Kinds of trouble, joined by +, in place of drawn ones
     #[arg(long, conflicts_with = "script")]
     pub like: Option<String>,
@@ -50,6 +62,10 @@
     pub standins: Option<PathBuf>,
 }
 
+fn load(text: &str) -> Result<f64, String> {
+    text.parse().ok().filter(|l| (0.01..=4.0).contains(l)).ok_or_else(|| "a number from 0.01 to 4".to_owned())
+}
+
 /// What a day came to.
 #[derive(Debug)]
 pub struct Outcome {
@@ -59,6 +75,8 @@
     pub wrong: Vec<String>,
     /// The script that was played.
     pub script: Script,
+    /// Work asked for without bursts and repeats, as a share of what the runners can do.
+    pub load: f64,
 }
 
 fn script(args: &Args, world: &World) -> Result<Script, Stop> {
@@ -69,7 +87,7 @@
     }
     let Some(like) = &args.like else { return Ok(Script::draw(world)) };
     let kinds: Vec<&str> = like.split('+').collect();
-    if let Some(unknown) = kinds.iter().find(|k| !KINDS.contains(k)) {
+    if let Some(unknown) = kinds.iter().find(|k| !KINDS.contains(k) && !WORST.contains(k)) {
         return Err(Stop::usage(format!("unknown kind {unknown}; known are {}", KINDS.join(", "))));
     }
     Ok(Script::of(world, &kinds))
@@ -93,7 +111,9 @@
 
 /// Plays a day in a folder.
 pub fn play(args: &Args, folder: &Path) -> Result<Outcome, Stop> {
-    let mut world = World::draw(args.seed, args.seconds);
+    let dials =
+        Dials { severity: args.severity, load: args.load, fronts: args.fronts, runners: args.runners };
+    let mut world = World::dialled(args.seed, args.seconds, dials);
     (world.fenced, world.reckless) = (args.fenced, args.reckless);
     // What is kept is there to be followed: `badgerwind trace` reads attempts at this level.
     world.level = if args.keep.is_some() { "debug" } else { "info" };
@@ -136,7 +156,7 @@
     wrong.extend(fleet.fallen());
     wrong.extend(fleet.stop_fronts());
     drop(fleet);
-    Ok(Outcome { report: judge(&facts, &records(folder)?), wrong, script })
+    Ok(Outcome { report: judge(&facts, &records(folder)?), wrong, script, load: world.load() })
 }
 
 /// Plays a day, prints what it came to, and ends with 1 where a rule was broken.
@@ -152,8 +172,9 @@
             made.path()
         }
     };
-    let Outcome { report, wrong, script } = play(args, folder)?;
-    println!("seed {}, {} s, {}", args.seed, args.seconds, script.kinds.join("+"));
+    let Outcome { report, wrong, script, load } = play(args, folder)?;
+    let hard = format!("{:?}", args.severity).to_lowercase();
+    println!("seed {}, {} s, {hard}, load {load:.2}, {}", args.seed, args.seconds, script.kinds.join("+"));
     println!(
         "{:<16} {:>7} {:>8} {:>6} {:>8} {:>7} {:>10}",
         "class", "calls", "served", "late", "refused", "failed", "unreached"
@@ -168,6 +189,13 @@
         "{} attempts and {} load orders reached runners; {} sends within a drain's grace",
         report.attempts, report.orders, report.in_grace
     );
+    for (rule, near) in &report.near {
+        let told = match near.is_exercised() {
+            true => format!("{:.2} of its limit", near.closest),
+            false => format!("not exercised ({:.2} of its limit)", near.closest),
+        };
+        println!("{:<28} {:>7} events, {told}", rule.name(), near.events);
+    }
     for text in &wrong {
         println!("WRONG: {text}");
     }
@@ -190,7 +218,8 @@
             })
             .collect();
         let text = json!({"seed": args.seed, "seconds": args.seconds, "script": script, "classes": classes,
-            "attempts": report.attempts, "orders": report.orders, "broken": broken, "wrong": wrong});
+            "near": report.near.iter().map(|(r, n)| (r.name(), json!({"events": n.events, "closest": n.closest, "exercised": n.is_exercised()}))).map(|(n, v)| (n.to_owned(), v)).collect::<serde_json::Map<_, _>>(),
+            "severity": args.severity, "load": load, "attempts": report.attempts, "orders": report.orders, "broken": broken, "wrong": wrong});
         crate::write_whole(path, &format!("{text:#}\n"))?;
     }
     if report.broken.is_empty() && wrong.is_empty() {
--- a/crates/badgerwind-cli/src/day/script.rs
+++ b/crates/badgerwind-cli/src/day/script.rs
@@ -1,6 +1,6 @@
 //! What goes wrong, and when. Kinds bear the names of the operators' bench where it has one.
 
-use super::world::World;
+use super::world::{Severity, World};
 use badgerwind_standins::model::Fault;
 use badgerwind_standins::senders::Phase;
 use rand::rngs::StdRng;
@@ -118,10 +118,16 @@
     "vanish",
 ];
 
+/// Kinds that take the whole fleet; drawn on brutal days alone.
+pub const WORST: [&str; 4] = ["drain_all", "fronts_roll", "grey", "list_far_behind"];
+
 impl Script {
     /// Draws a day: some kinds, a front end killed, and drains, whatever else.
     pub fn draw(world: &World) -> Script {
         let mut rng = StdRng::seed_from_u64(world.seed ^ 0x6261_6464_6179);
+        if world.severity >= Severity::Hard {
+            return Script::hard(world, &mut rng);
+        }
         let mut kinds: Vec<&str> =
             KINDS.into_iter().filter(|k| *k != "drain" && *k != "front_kill").collect();
         kinds.shuffle(&mut rng);
@@ -130,14 +136,42 @@
         Script::of(world, &kinds)
     }
 
+    /// A day at or past capacity: kinds that overlap and follow one another, a third of the runners in trouble at once,
+    /// a burst of thrice the traffic, and, at the worst, what takes the whole fleet.
+    fn hard(world: &World, rng: &mut StdRng) -> Script {
+        let brutal = world.severity == Severity::Brutal;
+        let mut kinds: Vec<&str> = KINDS
+            .into_iter()
+            .filter(|k| !["drain", "front_kill", "burst", "control_flap"].contains(k))
+            .collect();
+        kinds.shuffle(rng);
+        kinds.truncate(rng.random_range(5..8));
+        kinds.extend(["drain", "front_kill"]);
+        if brutal {
+            kinds.extend(["grey", "drain_all", "fronts_roll", "list_far_behind"]);
+        }
+        let mut script = Script::of(world, &kinds);
+        let length = world.seconds * 1_000_000;
+        let from = rng.random_range(length / 5..length / 2);
+        script.kinds.push("burst".to_owned());
+        let peak = Phase { from, to: from + length / 8, rate: 3.0, hot: 0.0, abuse: false };
+        script.phases.insert(0, peak);
+        script
+    }
+
     /// A day of these kinds.
     pub fn of(world: &World, kinds: &[&str]) -> Script {
         let mut script =
             Script { kinds: kinds.iter().map(|k| (*k).to_owned()).collect(), ..Script::default() };
         let mut rng = StdRng::seed_from_u64(world.seed ^ 0x7363_7269_7074);
-        // A runner in one trouble is left alone by the others.
+        // A runner in one trouble is left alone by the others; on hard days a third of them bears all.
         let mut free: Vec<u32> = world.ids().collect();
         free.shuffle(&mut rng);
+        if world.severity >= Severity::Hard {
+            let third = free.len().div_ceil(3);
+            let bear: Vec<u32> = free[..third].to_vec();
+            free = bear.iter().copied().cycle().take(4 * third).collect();
+        }
         for kind in kinds {
             script.add(kind, world, &mut free, &mut rng);
         }
@@ -231,6 +265,34 @@
                     self.at(2_000 + n * 3_000, Act::StartControl);
                 }
             }
+            "grey" => {
+                // Ten times slower, and nothing says so.
+                fault(self, take(1), Fault::Neighbour { share: 0.9 });
+                fault(self, take(1), Fault::Reset { share: 0.3 });
+            }
+            "drain_all" => {
+                // Every runner in turn, within the day; the next drains once the last is back, still cold.
+                let each = (length * 7 / 10) / world.runners.len().max(1) as u64;
+                for (n, runner) in world.ids().enumerate() {
+                    let at = length / 10 + n as u64 * each;
+                    self.at(at, Act::Drain { runner });
+                    self.at(at + 700, Act::TurnAway { runner });
+                    self.at(at + 1_500, Act::KillRunner { runner, notice_ms: 0 });
+                    self.at(at + 1_800, Act::StartRunner { runner });
+                }
+            }
+            "fronts_roll" => {
+                // All but one of them within two seconds.
+                for front in 1..world.fronts {
+                    let at = from + rng.random_range(0..2_000);
+                    self.at(at, Act::KillFront { front });
+                    self.at(at + rng.random_range(300..900), Act::StartFront { front });
+                }
+            }
+            "list_far_behind" => {
+                self.at(from, Act::Lag { ms: length });
+                self.at(to, Act::Lag { ms: 100 });
+            }
             "flush" => self.at(from, Act::Release),
             "burst" => self.phases.push(Phase { rate: rng.random_range(1.4..2.5), ..phase }),
             "hot_key" => self.phases.push(Phase { hot: rng.random_range(0.1..0.3), ..phase }),
--- a/crates/badgerwind-cli/src/day/world.rs
+++ b/crates/badgerwind-cli/src/day/world.rs
@@ -10,6 +10,47 @@
 use std::net::SocketAddr;
 use std::path::Path;
 
+/// How hard a day is.
+#[derive(
+    Clone,
+    Copy,
+    Debug,
+    Default,
+    PartialEq,
+    Eq,
+    PartialOrd,
+    Ord,
+    clap::ValueEnum,
+    serde::Serialize,
+    serde::Deserialize,
+)]
+#[serde(rename_all = "kebab-case")]
+pub enum Severity {
+    /// A fifth of what the runners can do, one or two of them in trouble.
+    #[default]
+    Calm,
+    /// About half of it, and memory that just holds what is popular.
+    Rough,
+    /// At capacity, with a third of the runners in trouble, overlapping; memory too small, rations and quotas that bite,
+    /// senders that repeat at once and unmarked, short patience.
+    Hard,
+    /// Beyond it: also a store that refuses, nearly all front ends restarted, all runners drained, lists far behind.
+    Brutal,
+}
+
+/// What differs from what a seed and a severity draw.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Dials {
+    /// How hard.
+    pub severity: Severity,
+    /// Work asked for, as a multiple of what all runners can do when warm and well.
+    pub load: Option<f64>,
+    /// Front ends.
+    pub fronts: Option<u32>,
+    /// Runners.
+    pub runners: Option<u32>,
+}
+
 /// A class of the world.
 #[derive(Clone, Debug)]
 pub struct WorldClass {
@@ -75,6 +116,16 @@
     pub guard: Option<String>,
     /// What front ends log.
     pub level: &'static str,
+    /// How hard the day is.
+    pub severity: Severity,
+    /// The limit on load orders, where there is one.
+    pub loads: Loads,
+    /// Quotas, as multiples of each tenant's part of the rate.
+    pub quotas: Vec<f64>,
+    /// Senders' wait before they try again, in milliseconds.
+    pub wait_ms: u64,
+    /// Tries after the first.
+    pub retries: u32,
 }
 
 /// Figures that hold for every world.
@@ -145,9 +196,77 @@
             round_us: 2_000,
             guard: None,
             level: "info",
+            severity: Severity::Calm,
+            loads: LOADS,
+            quotas: vec![1.5, 1.5],
+            wait_ms: 150,
+            retries: 2,
         }
     }
 
+    /// What all runners can do when warm and well, in cores of speed 1.
+    pub fn capacity(&self) -> f64 {
+        self.runners.iter().map(|r| r.cores * r.speed).sum()
+    }
+
+    /// Mean work of a call, in microseconds of a core of speed 1.
+    pub fn mean_work(&self) -> f64 {
+        let shares: f64 = self.classes.iter().map(|c| c.share).sum();
+        self.classes.iter().map(|c| c.share * c.mean_us).sum::<f64>() / shares
+    }
+
+    /// Work asked for, as a share of the capacity.
+    pub fn load(&self) -> f64 {
+        self.rate * self.mean_work() / 1e6 / self.capacity()
+    }
+
+    /// Draws a world and turns its dials. A calm one with none turned is [`World::draw`]'s own.
+    pub fn dialled(seed: u64, seconds: u64, dials: Dials) -> World {
+        let mut w = World::draw(seed, seconds);
+        let mut rng = StdRng::seed_from_u64(seed ^ 0x6469_616c);
+        w.severity = dials.severity;
+        if let Some(n) = dials.runners {
+            let mut n = n as usize;
+            while w.runners.len() < n {
+                let like = w.runners[rng.random_range(0..w.runners.len())].clone();
+                w.runners.push(Spec { speed: rng.random_range(0.7..1.1), ..like });
+            }
+            n = n.max(2);
+            w.runners.truncate(n);
+        }
+        w.fronts = dials.fronts.unwrap_or(w.fronts);
+        // Copies of all functions, as a share of all memory: what is held too much pushes the rest out.
+        let (load, crowding) = match dials.severity {
+            Severity::Calm => (None, None),
+            Severity::Rough => (Some(rng.random_range(0.4..0.7)), Some(0.6)),
+            Severity::Hard => (Some(rng.random_range(0.9..1.5)), Some(1.2)),
+            Severity::Brutal => (Some(rng.random_range(1.2..2.0)), Some(1.6)),
+        };
+        if w.severity >= Severity::Hard {
+            w.loads = Loads { free: 3.0, share: 0.05, ..LOADS };
+            // One tenant is over its share all day.
+            w.quotas = vec![1.5, 0.5];
+            (w.wait_ms, w.marks, w.retries) = (20, false, 3);
+            for c in &mut w.classes {
+                (c.aim_ms, c.deadline_ms) = (400, rng.random_range(900..1_500));
+            }
+        }
+        if w.severity == Severity::Brutal {
+            w.store = store::Spec { most: 4, wide: 2.0, ..w.store };
+        }
+        if let Some(crowding) = crowding {
+            let one = w.classes.iter().map(|c| f64::from(c.count) * c.memory_mb).sum::<f64>();
+            // Never so small that the largest copy fits no runner twice.
+            let largest = w.classes.iter().map(|c| c.memory_mb).fold(0.0, f64::max);
+            let each = (one * 3.0 / crowding / w.runners.len() as f64).max(2.0 * largest);
+            w.runners.iter_mut().for_each(|r| r.memory_mb = each.min(MEMORY_MB));
+        }
+        if let Some(load) = dials.load.or(load) {
+            w.rate = load * w.capacity() * 1e6 / w.mean_work();
+        }
+        w
+    }
+
     /// Ids of the runners.
     pub fn ids(&self) -> impl Iterator<Item = u32> {
         1..=self.runners.len() as u32
@@ -175,10 +294,11 @@
             self.seed * 100 + u64::from(number) + 1
         ));
         line("    <zone name=\"here\"/>".into());
-        line(format!("    <kind name=\"small\" memory-mb=\"{MEMORY_MB}\"/>"));
+        let memory = self.runners.first().map_or(MEMORY_MB, |r| r.memory_mb);
+        line(format!("    <kind name=\"small\" memory-mb=\"{memory:.0}\"/>"));
         line("  </fleet>".into());
         let (window, free, share) = match self.rationed {
-            true => (LOADS.window / 1_000_000, LOADS.free, LOADS.share),
+            true => (self.loads.window / 1_000_000, self.loads.free, self.loads.share),
             false => (0, 0.0, 0.0),
         };
         line(format!(
@@ -235,10 +355,10 @@
                 c.name, c.aim_ms, c.deadline_ms, c.worth
             ));
         }
-        for (tenant, part) in &self.tenants {
+        for ((tenant, part), times) in self.tenants.iter().zip(&self.quotas) {
             lines.push(format!(
                 "  <tenant name=\"{tenant}\" quota=\"{:.1}\"/>",
-                self.rate * part * (1.5 + 0.01 * version as f64)
+                self.rate * part * (times + 0.01 * version as f64)
             ));
         }
         for c in &self.classes {
@@ -260,7 +380,9 @@
         let lines = self.classes_part(version).join("\n");
         let text = format!("<badgerwind version=\"1\">\n{lines}\n</badgerwind>\n");
         if version % 3 == 0 {
-            text.replace("deadline=\"2000ms\"", "deadline=\"20ms\"")
+            // Too short to answer in, whatever the day's own is.
+            let own = format!("deadline=\"{}ms\"", self.classes[0].deadline_ms);
+            text.replace(&own, "deadline=\"20ms\"")
         } else {
             text
         }
@@ -294,7 +416,7 @@
             drain_grace: DRAIN_GRACE_MS * 1000,
             fall_multiple: FALL_MULTIPLE,
             fall_window: FALL_WINDOW_MS * 1000,
-            loads: if self.rationed { LOADS } else { Loads { window: 0, free: 0.0, share: 0.0 } },
+            loads: if self.rationed { self.loads } else { Loads { window: 0, free: 0.0, share: 0.0 } },
             transit: TRANSIT_US,
         }
     }
@@ -323,8 +445,8 @@
                 })
                 .collect(),
             zipf: 1.2,
-            retries: 2,
-            wait_ms: 150,
+            retries: self.retries,
+            wait_ms: self.wait_ms,
             marks: self.marks,
             phases: phases.to_vec(),
         };
