A front end that runs behind keeps its lag back of senders' time

Change: the engine's and the fronts' lateness is measured (largest, fading by half a second) and kept back of what is promised, up to half of it; badgerwind_lag_seconds.

--- a/crates/badgerwind-driver/src/lib.rs
+++ b/crates/badgerwind-driver/src/lib.rs
@@ -14,8 +14,10 @@
 
 mod books;
 mod driver;
+mod lag;
 
 pub use driver::Driver;
+pub use lag::Lag;
 
 use badgerwind::interface::*;
 
--- a/crates/badgerwind-gateway/src/engine.rs
+++ b/crates/badgerwind-gateway/src/engine.rs
@@ -10,13 +10,13 @@
 use badgerwind::interface::*;
 use badgerwind_config::ration::Ration;
 use badgerwind_config::shadow::limits;
-use badgerwind_driver::{Call, CallOff, Decider, Driver, Failure, Final, OrderId, Output, Refusal};
+use badgerwind_driver::{Call, CallOff, Decider, Driver, Failure, Final, Lag, OrderId, Output, Refusal};
 use badgerwind_settings::Settings;
 use futures_lite::FutureExt;
 use smol::Timer;
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
 /// What a runner needs of a call.
@@ -35,6 +35,8 @@
     pub trace: TraceParent,
     /// When it was taken, for the fence.
     pub taken: Time,
+    /// When its front handed it over.
+    pub handed: Time,
     /// When the sender gives up.
     pub due: Time,
     pub content_type: Option<String>,
@@ -87,6 +89,8 @@
     pub metrics: Arc<Metrics>,
     /// Calls owed an answer, for the orderly stop.
     pub owed: Arc<AtomicUsize>,
+    /// How far this front end runs behind.
+    pub lag: Arc<Mutex<Lag>>,
 }
 
 /// What the module asks of the list service.
@@ -259,7 +263,8 @@
         let (mut batch, mut out) = (Vec::new(), Vec::new());
         let mut last = Instant::now().checked_sub(round).unwrap_or_else(Instant::now);
         loop {
-            match self.next(modules.next_wake()).await {
+            let wake = modules.next_wake();
+            match self.next(wake).await {
                 Next::Control(Control::End) => {
                     modules.fail_all(self.clock.now(), Failure::Stopped, &mut out);
                     out.drain(..).for_each(|o| _ = self.carry(o, &mut attempts, &mut modules.ration));
@@ -282,6 +287,14 @@
                 batch.push(input);
             }
             last = Instant::now();
+            let began = self.clock.now();
+            // Late by its own alarm, beyond the round that it waits for anyway; or by the oldest call that waited for it.
+            let overdue = wake.map_or(0, |at| began.saturating_sub(at));
+            let waited = batch.iter().map(|i| match i {
+                Input::Call(call) => began.saturating_sub(call.content.handed),
+                _ => 0,
+            });
+            let late = waited.max().unwrap_or(0).max(overdue).saturating_sub(round.as_micros() as Span);
             for input in &batch {
                 self.observe(input, &mut attempts);
             }
@@ -292,7 +305,12 @@
             for o in out.drain(..) {
                 failed = failed.or(self.carry(o, &mut attempts, &mut modules.ration));
             }
-            self.metrics.batch_time.observe(last.elapsed().as_secs_f64());
+            let took = last.elapsed();
+            self.lag
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner)
+                .see(began, late.max(took.as_micros() as Span));
+            self.metrics.batch_time.observe(took.as_secs_f64());
             if let Some(text) = failed {
                 modules.fail_all(self.clock.now(), Failure::ModuleFailed, &mut out);
                 out.drain(..).for_each(|o| _ = self.carry(o, &mut attempts, &mut modules.ration));
--- a/crates/badgerwind-gateway/src/front.rs
+++ b/crates/badgerwind-gateway/src/front.rs
@@ -13,7 +13,7 @@
 use async_channel::{Receiver, Sender};
 use badgerwind::interface::*;
 use badgerwind_config::shadow::Recorded;
-use badgerwind_driver::{Call, Final};
+use badgerwind_driver::{Call, Final, Lag};
 use badgerwind_guard::{forwarded, Budget, Guard, Permit, Source, Who};
 use badgerwind_http::{Conn, Limits, RequestHead, Response, ServerTls, Stream};
 use badgerwind_settings::{Settings, Target};
@@ -43,8 +43,8 @@
 /// `1`: the answer is the one that an earlier message with this id got.
 const REPLAYED: &str = "badgerwind-replayed";
 
-/// An answer, and where a streamed one goes on.
-type Told = (Arc<Response>, Option<Receiver<Vec<u8>>>);
+/// An answer, where a streamed one goes on, and when it was given.
+type Told = (Arc<Response>, Option<Receiver<Vec<u8>>>, Time);
 type Memory = Replay<Arc<Response>, Sender<Arc<Response>>>;
 
 /// What a front goes by, changed as a whole.
@@ -72,6 +72,8 @@
     /// Callbacks owed.
     pub owed: Arc<AtomicUsize>,
     pub replay: Mutex<Memory>,
+    /// How far this front end runs behind.
+    pub lag: Arc<Mutex<Lag>>,
     /// Budgets for failed signatures.
     pub guard: Mutex<Guard>,
     /// The time by which signatures are judged.
@@ -243,7 +245,7 @@
             let body: Arc<[u8]> = body.to_string().into_bytes().into();
             smol::spawn(owed.post(format!("{}_answer", self.webhook_id), body)).detach();
         }
-        let _ = self.reply.try_send((response, rest));
+        let _ = self.reply.try_send((response, rest, front.clock.now()));
     }
 }
 
@@ -352,6 +354,10 @@
         judged
     }
 
+    fn lag(&self) -> MutexGuard<'_, Lag> {
+        self.lag.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn guard(&self) -> MutexGuard<'_, Guard> {
         self.guard.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -601,9 +607,13 @@
                     }
                     Some(got) => got,
                 };
+                if let Ok((_, _, given)) = &got {
+                    let now = self.clock.now();
+                    self.lag().see(now, now.saturating_sub(*given));
+                }
                 match got {
-                    Ok((response, Some(rest))) => Handled::Stream(response, rest),
-                    Ok((response, None)) => Handled::Answer(response),
+                    Ok((response, Some(rest), _)) => Handled::Stream(response, rest),
+                    Ok((response, None, _)) => Handled::Answer(response),
                     Err(_) => {
                         let text = "the daemon could not answer; it may have run";
                         let away = Away { harmless: false, ..away(502, "failed", text) };
@@ -642,6 +652,12 @@
         };
         // Twice the slack is kept back: once for the module's last word, once for its way to the sender.
         let set = &settings.router;
+        // What this front end runs behind is kept back as well: an answer that was promised comes.
+        let waits = {
+            let lag = self.lag();
+            self.metrics.lag.set(lag.get(began) as f64 / 1e6);
+            lag.promise(began, waits)
+        };
         let due = (began + waits).saturating_sub(2 * set.answer_slack);
         if due <= self.clock.now() + set.round {
             return Err(away(503, "no-time", "too little of the sender's time is left"));
@@ -741,6 +757,7 @@
             class: route.class,
             tenant: sender.tenant,
             taken: began,
+            handed: self.clock.now(),
             due,
             content_type: header("content-type").map(str::to_owned),
             body: body.into(),
--- a/crates/badgerwind-gateway/src/metrics.rs
+++ b/crates/badgerwind-gateway/src/metrics.rs
@@ -51,6 +51,7 @@
     pub failed_signatures: Family<BySender, Counter>,
     pub clock_skew: Family<BySender, Gauge>,
     pub clock_behind: Gauge,
+    pub lag: Gauge<f64, AtomicU64>,
     pub connections: Gauge,
     pub runners: Gauge,
     pub list_version: Gauge<u64, AtomicU64>,
@@ -76,6 +77,7 @@
             failed_signatures: Family::default(),
             clock_skew: Family::default(),
             clock_behind: Gauge::default(),
+            lag: Gauge::default(),
             connections: Gauge::default(),
             runners: Gauge::default(),
             list_version: Gauge::default(),
@@ -102,6 +104,8 @@
         r.register("sender_clock_skew_seconds", help, m.clock_skew.clone());
         let help = "By how much this machine's clock reads less than it has read, in seconds";
         r.register("clock_behind_seconds", help, m.clock_behind.clone());
+        let help = "How far this front end runs behind its own clock, in seconds; kept back of senders' time";
+        r.register("lag_seconds", help, m.lag.clone());
         r.register("connections", "Connections of senders", m.connections.clone());
         r.register("runners_ready", "Runners listed as ready", m.runners.clone());
         r.register("list_version", "Version of the runner list", m.list_version.clone());
--- a/crates/badgerwind-gateway/src/serve.rs
+++ b/crates/badgerwind-gateway/src/serve.rs
@@ -179,6 +179,7 @@
     tasks.push(smol::spawn(lister.run()));
 
     let owed = Arc::new(AtomicUsize::new(0));
+    let lag: Arc<Mutex<badgerwind_driver::Lag>> = Arc::default();
     let engine = Engine {
         clock,
         inputs,
@@ -189,6 +190,7 @@
         ask_list,
         metrics: metrics.clone(),
         owed: owed.clone(),
+        lag: lag.clone(),
     };
     let seed = if settings.seed == 0 { fastrand::u64(..) } else { settings.seed };
     let decider = decider.unwrap_or_else(|| Box::new(Router::new(seed, set.clone())));
@@ -216,6 +218,7 @@
         counts: Counts::default(),
         owed: Arc::default(),
         replay: Mutex::new(Replay::new(bounds(&settings))),
+        lag,
         guard: Mutex::new(Guard::new(clock.now(), guard_bounds(&settings))),
         wall: Mutex::new(Wall::default()),
         skews: Mutex::new(vec![Skew::default(); settings.webhook.senders.len()]),
