--- a/crates/badgerwind-check/src/lib.rs
+++ b/crates/badgerwind-check/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod judge;
 mod record;
+pub mod worth;
 
 pub use judge::{judge, Broken, Near, Report, Rule, Service};
 pub use record::{read, Answer, ClassFacts, Effect, Facts, Group, Line, Loads, RunnerFacts, State, What};
--- a/crates/badgerwind-check/src/record.rs
+++ b/crates/badgerwind-check/src/record.rs
@@ -53,6 +53,9 @@
         tenant: String,
         /// When the sender gives up.
         due: u64,
+        /// Its work, in microseconds of one core of speed 1, where the sender knows it.
+        #[serde(default)]
+        work: f64,
     },
     /// A try ended.
     Told {
@@ -217,6 +220,12 @@
     /// Its runners keep a ledger: what counts is which attempts they let in, not which reached them.
     #[serde(default)]
     pub fenced: bool,
+    /// Worth of an answer within the aim.
+    #[serde(default)]
+    pub worth: f64,
+    /// Share of it for a later one.
+    #[serde(default)]
+    pub late_worth: f64,
 }
 
 /// A runner, for the judge.
--- a/crates/badgerwind-cli/src/day/fleet.rs
+++ b/crates/badgerwind-cli/src/day/fleet.rs
@@ -349,6 +349,8 @@
                 if let Some(process) = self.processes.remove(&format!("front-{front}")) {
                     self.recorder.add(What::FrontKilled { front: *front });
                     process.kill();
+                    // On a busy machine some time passes between the word and the deed: it died in between.
+                    self.recorder.add(What::FrontKilled { front: *front });
                 }
             }
             Act::StartFront { front } => {
--- a/crates/badgerwind-standins/src/senders.rs
+++ b/crates/badgerwind-standins/src/senders.rs
@@ -213,6 +213,7 @@
                 class: class.name.clone(),
                 tenant: plan.tenant.clone(),
                 due,
+                work: call.work,
             },
         );
         // It gives up a little after its due time, so that an answer that comes late is seen to be late.
