trace: the evidence that stood for a runner when an attempt went there

Need: a timeline did not say why a call went to its runner; the module's actions carry no reasons. Change: while attempts are logged, the last word of a function at a runner and its age stand in the attempt's line; bounded, nothing decided by it.

--- a/crates/badgerwind-cli/src/trace/draw.rs
+++ b/crates/badgerwind-cli/src/trace/draw.rs
@@ -79,7 +79,7 @@
                     let row = chart.row(format!("{} at {}", e.request, e.place));
                     chart.bars.push(Bar { row, from: at, to, shade: Shade::Held });
                 }
-                Kind::Attempt { attempt, worker } => {
+                Kind::Attempt { attempt, worker, .. } => {
                     let ends = |x: &&Event| matches!(&x.kind, Kind::Ended { attempt: a, .. } if a == attempt);
                     let end = later.iter().filter(same).find(ends);
                     let shade = match end.map(|e| &e.kind) {
--- a/crates/badgerwind-cli/src/trace/mod.rs
+++ b/crates/badgerwind-cli/src/trace/mod.rs
@@ -36,10 +36,11 @@
         Kind::Taken { sender, key, function, trace } => {
             format!("taken as {} from {sender} (key {key}), for {function}, trace {trace}", e.request)
         }
-        Kind::Attempt { attempt, worker } => {
+        Kind::Attempt { attempt, worker, known } => {
             let held = last(&|k| matches!(k, Kind::Taken { .. } | Kind::Ended { .. }));
             let held = held.map_or(String::new(), |t| format!(", held {:.1} ms before", ms(t)));
-            format!("attempt {attempt} to runner {worker}{held}")
+            let known = known.as_ref().map_or(String::new(), |k| format!("; known of it there: {k}"));
+            format!("attempt {attempt} to runner {worker}{held}{known}")
         }
         Kind::Ended { attempt, outcome, mark } => {
             let out = last(&|k| matches!(k, Kind::Attempt { attempt: a, .. } if a == attempt));
--- a/crates/badgerwind-cli/src/trace/read.rs
+++ b/crates/badgerwind-cli/src/trace/read.rs
@@ -25,6 +25,8 @@
         attempt: u64,
         /// To which runner.
         worker: u64,
+        /// What was last heard of the function there.
+        known: Option<String>,
     },
     /// It ended, as its front end saw it.
     Ended {
@@ -89,7 +91,11 @@
             function: word(line, "function"),
             trace: word(line, "trace_id"),
         },
-        "attempt" => Kind::Attempt { attempt: number(line, "attempt"), worker: number(line, "worker") },
+        "attempt" => Kind::Attempt {
+            attempt: number(line, "attempt"),
+            worker: number(line, "worker"),
+            known: line["known"].as_str().map(str::to_owned),
+        },
         "attempt ended" => Kind::Ended {
             attempt: number(line, "attempt"),
             outcome: word(line, "outcome"),
--- a/crates/badgerwind-cli/tests/program.rs
+++ b/crates/badgerwind-cli/tests/program.rs
@@ -222,7 +222,7 @@
     };
     let first = [
         line("0.1", &taken("r-1")),
-        line("0.2", "\"message\":\"attempt\",\"request\":\"r-1\",\"attempt\":0,\"worker\":4"),
+        line("0.2", "\"message\":\"attempt\",\"request\":\"r-1\",\"attempt\":0,\"worker\":4,\"known\":\"ok, Warm 0.2 s ago\""),
         line("0.3", "\"message\":\"attempt\",\"request\":\"r-9\",\"attempt\":0,\"worker\":5"),
         "not json\n".to_owned(),
     ];
@@ -241,7 +241,7 @@
             lines,
             [
                 "a            taken as r-1 from portal (key a), for lodge, trace abc",
-                "a            attempt 0 to runner 4, held 100.0 ms before",
+                "a            attempt 0 to runner 4, held 100.0 ms before; known of it there: ok, Warm 0.2 s ago",
                 "b            taken as r-2 from portal (key a), for lodge, trace abc",
                 "b            attempt 0 ended: ok, copy Warm",
                 "b            served after 1 attempts, 1.5 ms since it was taken",
--- a/crates/badgerwind-gateway/src/engine.rs
+++ b/crates/badgerwind-gateway/src/engine.rs
@@ -2,6 +2,7 @@
 //! for is carried out by tasks that report back.
 
 use crate::clock::Clock;
+use crate::known::Known;
 use crate::metrics::{word, ByOutcome, Metrics};
 use crate::peers::Peers;
 use crate::runners::{Reply, Runners};
@@ -144,7 +145,15 @@
     ration: Ration,
 }
 
-type Attempts = HashMap<(RequestId, u32), Sender<CallOff>>;
+/// How an attempt is called off, where it is, and what it is of.
+type Out = (Sender<CallOff>, WorkerId, Arc<Content>);
+
+/// Attempts out, and what was heard of those before.
+#[derive(Default)]
+struct Attempts {
+    out: HashMap<(RequestId, u32), Out>,
+    known: Known,
+}
 
 impl Modules {
     fn new(decider: Box<dyn Decider + Send>, settings: &Settings) -> Self {
@@ -259,7 +268,7 @@
     pub(crate) async fn run(self, decider: Box<dyn Decider + Send>, settings: Arc<Settings>) -> EngineEnd {
         let mut modules = Modules::new(decider, &settings);
         let mut round = Duration::from_micros(settings.router.round);
-        let mut attempts: Attempts = HashMap::new();
+        let mut attempts = Attempts::default();
         let (mut batch, mut out) = (Vec::new(), Vec::new());
         let mut last = Instant::now().checked_sub(round).unwrap_or_else(Instant::now);
         loop {
@@ -341,7 +350,13 @@
     fn observe(&self, input: &Input, attempts: &mut Attempts) {
         match input {
             Input::AttemptEnded { id, attempt, end } => {
-                attempts.remove(&(id.clone(), *attempt));
+                if let Some((_, worker, content)) = attempts.out.remove(&(id.clone(), *attempt)) {
+                    if tracing::enabled!(tracing::Level::DEBUG) {
+                        let function = &content.settings.functions[content.function].name;
+                        let what = format!("{}, {:?}", word(end.outcome), end.mark);
+                        attempts.known.note(self.clock.now(), worker, function, what);
+                    }
+                }
                 self.metrics.attempts.get_or_create(&ByOutcome { outcome: word(end.outcome) }).inc();
                 let outcome = word(end.outcome);
                 tracing::debug!(request = %id, attempt, outcome, mark = ?end.mark, "attempt ended");
@@ -375,8 +390,12 @@
             }
             Output::Attempt { id, attempt, worker, content, limit: _ } => {
                 let (off, called_off) = async_channel::bounded(1);
-                attempts.insert((id.clone(), attempt), off);
-                tracing::debug!(request = %id, attempt, worker, trace_id = %content.trace.trace, "attempt");
+                if tracing::enabled!(tracing::Level::DEBUG) {
+                    let function = &content.settings.functions[content.function].name;
+                    let known = attempts.known.tell(self.clock.now(), worker, function);
+                    tracing::debug!(request = %id, attempt, worker, known, trace_id = %content.trace.trace, "attempt");
+                }
+                attempts.out.insert((id.clone(), attempt), (off, worker, content.clone()));
                 smol::spawn(async move {
                     let end = runners.attempt(&id, attempt, worker, &content, called_off, &report).await;
                     let _ = report.send(Input::AttemptEnded { id, attempt, end }).await;
@@ -385,7 +404,7 @@
             }
             Output::CallOff { id, attempt, why, .. } => {
                 // A full channel: called off before. A closed one: it has ended, and its report is on its way.
-                if let Some(off) = attempts.get(&(id, attempt)) {
+                if let Some((off, ..)) = attempts.out.get(&(id, attempt)) {
                     let _ = off.try_send(why);
                 }
             }
@@ -394,6 +413,10 @@
                 self.refused_order(order);
             }
             Output::Order { order, worker, function, copies, limit } => {
+                if copies > 0 && tracing::enabled!(tracing::Level::DEBUG) {
+                    let what = format!("{copies} copies ordered");
+                    attempts.known.note(self.clock.now(), worker, &function, what);
+                }
                 let until = self.clock.instant(limit);
                 smol::spawn(async move {
                     let late = async {
--- a/crates/badgerwind-gateway/src/lib.rs
+++ b/crates/badgerwind-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod control;
 mod engine;
 mod front;
+mod known;
 mod list;
 pub mod logging;
 mod metrics;
