--- a/crates/badgerwind/src/choice.rs
+++ b/crates/badgerwind/src/choice.rs
@@ -392,7 +392,9 @@
         let sizes: f64 = self.m.ready().map(|w| w.size).sum();
         // Guards against demand beyond capacity: only what was ever served shows what they can bear.
         let asked = self.m.rate.get(self.now, self.keep()) / sizes.max(w.size);
-        let bears = w.size * if self.m.borne > 0.0 { asked.min(self.m.borne) } else { asked };
+        let borne: Vec<f64> = self.m.workers.values().map(|w| w.borne).filter(|b| *b > 0.0).collect();
+        let mean = borne.iter().sum::<f64>() / borne.len().max(1) as f64;
+        let bears = w.size * if mean > 0.0 { asked.min(mean) } else { asked };
         let budget =
             bears * capacity * self.set.fall_window as f64 / 1e6 * self.set.fall_multiple * COLD_SHARE;
         let sent = w.sends.since(self.now.saturating_sub(self.set.fall_window));
@@ -579,9 +581,11 @@
         let Some(a) = self.m.end_attempt(id, attempt, outcome, free) else { return };
         let (worker, own, waited) = (a.worker, a.own, self.now - a.sent);
         if outcome == Outcome::Ok {
-            let (keep, sizes) = (self.keep(), self.m.ready().map(|w| w.size).sum::<f64>());
-            self.m.served.add(self.now, keep, 1e6 / keep);
-            self.m.borne = self.m.borne.max(self.m.served.get(self.now, keep) / sizes.max(1.0));
+            let (now, keep) = (self.now, self.keep());
+            if let Some(w) = self.m.workers.get_mut(&worker) {
+                w.served.add(now, keep, 1e6 / keep);
+                w.borne = w.borne.max(w.served.get(now, keep) / w.size.max(0.01));
+            }
         }
         let (f, kinds) = (self.m.open[id].function, self.m.open[id].kinds());
         self.learn(f, kinds, worker, told, (own, waited));
--- a/crates/badgerwind/src/state.rs
+++ b/crates/badgerwind/src/state.rs
@@ -84,6 +84,10 @@
     pub cut_at: Time,
     /// Own sends since it started, and lately, for the cold budget.
     pub cold_sends: u32,
+    /// Attempts that ended well here.
+    pub served: Decay,
+    /// The most of them a second, a unit of its size.
+    pub borne: f64,
     pub sends: Recent,
 }
 
@@ -269,10 +273,6 @@
     pub arrivals: Recent,
     pub orders: Recent,
     pub rate: Decay,
-    /// Attempts that ended well.
-    pub served: Decay,
-    /// The most of them a second that one unit of size ever took, by all that were ready then.
-    pub borne: f64,
     pub tenant_rate: Vec<Decay>,
     pub class_mean: Vec<f64>,
     /// Beliefs older than this are not trusted.
