Budgets: several X-Forwarded-For lines are one list; what was written twice folded

Found on reading the change again: a header that stands twice was read as none, so that behind a balancer which adds a line of its own a forger's line charged the balancer's address, which others share. All lines are one list now (RFC 9110 section 5.3), with a test that fails without it. Also: a give-back that nothing called is gone, signatures' headers are parsed outside the guard's lock, the tests' certificate authority stands once.

--- a/crates/badgerwind-cli/tests/tls.rs
+++ b/crates/badgerwind-cli/tests/tls.rs
@@ -1,39 +1,23 @@
 //! The whole way under TLS: senders to the gateway, the gateway to runners, certificates exchanged while serving.
 
+#[path = "../../badgerwind-http/tests/authority/mod.rs"]
+mod authority;
 mod rig;
 
+use authority::Authority;
 use badgerwind_cli::send::{post, Message, To};
 use badgerwind_http::{ClientTls, Identity, ServerTls};
-use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
 use rig::*;
 use std::time::Duration;
 
-struct Authority {
-    pem: String,
-    issuer: Issuer<'static, KeyPair>,
+fn serves(authority: &Authority, name: &str, clients: bool) -> ServerTls {
+    let (chain, key) = authority.sign(name);
+    let identity = Identity { chain: chain.as_bytes(), key: key.as_bytes() };
+    ServerTls::new(identity, clients.then_some(authority.pem.as_bytes())).unwrap()
 }
 
-impl Authority {
-    fn new() -> Self {
-        let key = KeyPair::generate().unwrap();
-        let mut params = CertificateParams::new(Vec::<String>::new()).unwrap();
-        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
-        let pem = params.self_signed(&key).unwrap().pem();
-        Authority { pem, issuer: Issuer::new(params, key) }
-    }
-    fn sign(&self, name: &str) -> (String, String) {
-        let key = KeyPair::generate().unwrap();
-        let params = CertificateParams::new(vec![name.to_owned()]).unwrap();
-        (params.signed_by(&key, &self.issuer).unwrap().pem(), key.serialize_pem())
-    }
-    fn serves(&self, name: &str, clients: bool) -> ServerTls {
-        let (chain, key) = self.sign(name);
-        let identity = Identity { chain: chain.as_bytes(), key: key.as_bytes() };
-        ServerTls::new(identity, clients.then_some(self.pem.as_bytes())).unwrap()
-    }
-    fn trusted(&self, name: &str) -> ClientTls {
-        ClientTls::new(self.pem.as_bytes(), name, None).unwrap()
-    }
+fn trusted(authority: &Authority, name: &str) -> ClientTls {
+    ClientTls::new(authority.pem.as_bytes(), name, None).unwrap()
 }
 
 async fn send(rig: &Rig, tls: Option<ClientTls>, id: &str) -> Result<u16, String> {
@@ -53,7 +37,7 @@
     let front = authority.sign("front.test");
     Plan {
         edits: vec![("<route path=\"/check\"", SENDERS_TLS.into()), (RUNNERS, RUNNERS_TLS.into())],
-        runner_tls: Some(authority.serves("runner.test", true)),
+        runner_tls: Some(serves(authority, "runner.test", true)),
         files: vec![
             ("ca.pem", authority.pem.clone()),
             ("front.pem", front.0),
@@ -70,13 +54,13 @@
     smol::block_on(async {
         let authority = Authority::new();
         let rig = Rig::start(plan(&authority, authority.sign("front.test"))).await;
-        let tls = || Some(authority.trusted("front.test"));
+        let tls = || Some(trusted(&authority, "front.test"));
         for n in 0..5 {
             assert_eq!(send(&rig, tls(), &format!("m{n}")).await, Ok(200));
         }
         assert_eq!(send(&rig, tls(), "m0").await, Ok(200), "replayed");
         assert!(send(&rig, None, "m9").await.is_err(), "without TLS nothing is answered");
-        assert!(send(&rig, Some(Authority::new().trusted("front.test")), "m9").await.is_err());
+        assert!(send(&rig, Some(trusted(&Authority::new(), "front.test")), "m9").await.is_err());
         assert_eq!((rig.arrived(), rig.finished()), (5, 5));
         let (_, text) = rig.get("/metrics").await;
         assert!(text.contains("turned_away_total{reason=\"handshake\"}"), "{text}");
@@ -88,7 +72,7 @@
     smol::block_on(async {
         let (authority, other) = (Authority::new(), Authority::new());
         let rig = Rig::start(plan(&authority, other.sign("front.test"))).await;
-        let got = send(&rig, Some(authority.trusted("front.test")), "m1").await.unwrap();
+        let got = send(&rig, Some(trusted(&authority, "front.test")), "m1").await.unwrap();
         // Under TLS 1.3 the refusal can come after the request was written: then it is in doubt, and told so.
         assert!(got == 502 || got == 503, "{got}");
         assert_eq!(rig.arrived(), 0);
@@ -101,7 +85,8 @@
         let (old, new) = (Authority::new(), Authority::new());
         let rig = Rig::start(plan(&old, old.sign("front.test"))).await;
         let reload = rig.running.as_ref().unwrap().reloader(None);
-        let (from_old, from_new) = (|| Some(old.trusted("front.test")), || Some(new.trusted("front.test")));
+        let (from_old, from_new) =
+            (|| Some(trusted(&old, "front.test")), || Some(trusted(&new, "front.test")));
         assert_eq!(send(&rig, from_old(), "m1").await, Ok(200));
         let file = |name: &str| rig.folder.path().join(name);
         let (chain, key) = new.sign("front.test");
--- a/crates/badgerwind-gateway/src/front.rs
+++ b/crates/badgerwind-gateway/src/front.rs
@@ -289,7 +289,7 @@
 const SHORT: u64 = 16 * 1024;
 
 /// Bodies above this many bytes are checked on a thread of their own, so that other connections go on meanwhile.
-const LARGE: usize = 32 * 1024;
+const LARGE: u64 = 32 * 1024;
 
 /// What a remembered id takes beside its answer's body, at the most: `cargo bench -p badgerwind-webhook --bench replay`
 /// says up to 240 bytes for the id, the rest is the answer's head.
@@ -474,15 +474,15 @@
         let w = &rules.settings.webhook;
         let sender = w.routes[route].sender;
         let header = |name| head.headers.get(name);
-        let source = forwarded(peer, &w.guard.balancers, header("x-forwarded-for")).unwrap_or(peer);
+        let lines: Vec<&str> = head.headers.all("x-forwarded-for").collect();
+        let source = forwarded(peer, &w.guard.balancers, &lines).unwrap_or(peer);
         let who = Who { source: Source::of(source), sender };
         let bytes = match head.framing {
             badgerwind_http::Framing::Length(n) => n.min(w.body_bytes as u64),
             _ => w.body_bytes as u64,
         };
         let now = self.clock.now();
-        let mut guard = self.guard();
-        let permit = guard.enter(now, who, bytes).map_err(|turned| {
+        let permit = self.guard().enter(now, who, bytes).map_err(|turned| {
             let text = "too many signatures from there have failed; this message was not looked at";
             Away { retry_after: Some(turned.wait()), ..away(429, "failed-signatures", text) }
         })?;
@@ -491,8 +491,7 @@
         match rules.rings[sender].claim(self.wall(), id, time, signature) {
             Ok(claim) => Ok((permit, claim)),
             Err(e) => {
-                guard.failed(now, permit);
-                drop(guard);
+                self.guard().failed(now, permit);
                 Err(self.unverified(&w.senders[sender].name, who.source, &e))
             }
         }
@@ -525,8 +524,7 @@
             let digest = Digest::of_parts(&[route.path.as_bytes(), b"\n", &body]);
             Ok(Verified { key, sent, digest, body })
         };
-        let large = rules.settings.webhook.body_bytes.min(LARGE);
-        let checked = match permit.bytes() > large as u64 {
+        let checked = match permit.bytes() > LARGE {
             true => {
                 let _place = self.checks.acquire().await;
                 smol::unblock(check).await
--- a/crates/badgerwind-guard/src/guard.rs
+++ b/crates/badgerwind-guard/src/guard.rs
@@ -176,16 +176,6 @@
         }
     }
 
-    /// Nothing was checked, and through no fault of the source: nothing is owed.
-    pub fn unchecked(&mut self, now: Time, permit: Permit) {
-        let Permit { who, cost, stranger, shared, .. } = permit;
-        if stranger {
-            let budget = self.bounds.sender;
-            self.stranger(now, who.sender).give_back(&budget, cost);
-            self.give_back(now, who.source, cost, shared);
-        }
-    }
-
     fn stranger(&mut self, now: Time, sender: usize) -> &mut Bucket {
         let budget = self.bounds.sender;
         let bucket = self.strangers.entry(sender).or_insert_with(|| Bucket::full(&budget, now));
@@ -265,7 +255,7 @@
         }
     }
 
-    fn is_known(&mut self, now: Time, who: Who) -> bool {
+    fn is_known(&self, now: Time, who: Who) -> bool {
         let span = self.bounds.known_for;
         self.known.get(&who).is_some_and(|at| now < at.saturating_add(span))
     }
--- a/crates/badgerwind-guard/src/source.rs
+++ b/crates/badgerwind-guard/src/source.rs
@@ -32,15 +32,17 @@
 
 /// The address behind balancers that are trusted: the last one in `X-Forwarded-For` that none of them is. What a
 /// balancer appended can be believed; what stands before the first address of a stranger cannot, since that
-/// stranger wrote it. `None` where the connection is not from a trusted balancer, or names nobody.
-pub fn forwarded(peer: IpAddr, trusted: &[IpAddr], header: Option<&str>) -> Option<IpAddr> {
+/// stranger wrote it. Lines that stand more than once are one list in their order (RFC 9110 section 5.3): a balancer
+/// may add a line of its own behind one that a stranger sent. `None` where the connection is not from a trusted
+/// balancer, or names nobody.
+pub fn forwarded(peer: IpAddr, trusted: &[IpAddr], lines: &[&str]) -> Option<IpAddr> {
     // A listener on both families shows IPv4 peers in their IPv6 form.
     let same = |a: IpAddr, b: IpAddr| a.to_canonical() == b.to_canonical();
     let trusts = |a: IpAddr| trusted.iter().any(|t| same(*t, a));
     if !trusts(peer) {
         return None;
     }
-    for part in header?.rsplit(',') {
+    for part in lines.iter().rev().flat_map(|l| l.rsplit(',')) {
         let address: IpAddr = address(part.trim())?;
         if !trusts(address) {
             return Some(address);
--- a/crates/badgerwind-guard/tests/floods.rs
+++ b/crates/badgerwind-guard/tests/floods.rs
@@ -121,16 +121,6 @@
     assert_eq!(guard.watched(), 4);
 }
 
-#[test]
-fn a_check_that_was_never_made_costs_nothing() {
-    let mut guard = Guard::new(0, bounds());
-    for _ in 0..100 {
-        let permit = guard.enter(0, who(1, 0), 0).unwrap();
-        guard.unchecked(0, permit);
-    }
-    assert_eq!((guard.watched(), guard.known()), (0, 0));
-}
-
 #[test]
 fn a_budget_that_never_refills_says_so_by_a_long_wait_and_keeps_no_place_for_ever() {
     let none = Budget { burst: 2, rate: 0 };
@@ -154,7 +144,8 @@
 #[test]
 fn only_what_a_trusted_balancer_appended_is_believed() {
     let balancers = [ip(250), ip(251)];
-    let behind = |peer, header| forwarded(peer, &balancers, header).map(|a| a.to_string());
+    let behind =
+        |peer, header: Option<&str>| forwarded(peer, &balancers, header.as_slice()).map(|a| a.to_string());
     let is = |t: &str| Some(t.to_owned());
     assert_eq!(behind(ip(250), Some("198.51.100.7")), is("198.51.100.7"));
     assert_eq!(
@@ -166,6 +157,9 @@
     assert_eq!(behind(ip(250), Some("198.51.100.7:4711")), is("198.51.100.7"));
     assert_eq!(behind(ip(250), Some("[2001:db8::1]:4711")), is("2001:db8::1"));
     assert_eq!(behind(ip(250), Some("[2001:db8::1]")), is("2001:db8::1"));
+    // A forger's own line before the balancer's buys it nothing, nor does it hide behind the balancer's address.
+    let two = ["203.0.113.9", "198.51.100.7, 192.0.2.251"];
+    assert_eq!(forwarded(ip(250), &balancers, &two).map(|a| a.to_string()), is("198.51.100.7"));
     for (peer, header) in [
         (ip(1), Some("198.51.100.7")),
         (ip(250), None),
@@ -226,8 +220,7 @@
                             guard.good(now, permit);
                             known.insert(who, now);
                         }
-                        1 => guard.unchecked(now, permit),
-                        2 => {
+                        1 | 2 => {
                             guard.failed(now, permit);
                             clean[usize::from(at)] = false;
                             spent[who.sender] += if stranger { cost } else { 0 };
--- a/crates/badgerwind-http/tests/tls.rs
+++ b/crates/badgerwind-http/tests/tls.rs
@@ -1,37 +1,17 @@
 //! TLS under both sides: who is let in, who is not, and certificates that change while connections are open.
 
+mod authority;
+
+use authority::Authority;
 use badgerwind_http::{
     ClientTls, Conn, Exchange, ExchangeError, Identity, Limits, Pool, PoolBounds, Response, ServerTls,
     TlsError,
 };
-use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
 use smol::net::TcpListener;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-/// An authority, and what it signs.
-struct Authority {
-    pem: String,
-    issuer: Issuer<'static, KeyPair>,
-}
-
-impl Authority {
-    fn new() -> Self {
-        let key = KeyPair::generate().unwrap();
-        let mut params = CertificateParams::new(Vec::<String>::new()).unwrap();
-        params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
-        let pem = params.self_signed(&key).unwrap().pem();
-        Authority { pem, issuer: Issuer::new(params, key) }
-    }
-    /// Chain and key of a name.
-    fn sign(&self, name: &str) -> (String, String) {
-        let key = KeyPair::generate().unwrap();
-        let params = CertificateParams::new(vec![name.to_owned()]).unwrap();
-        (params.signed_by(&key, &self.issuer).unwrap().pem(), key.serialize_pem())
-    }
-}
-
 fn identity((chain, key): &(String, String)) -> Identity<'_> {
     Identity { chain: chain.as_bytes(), key: key.as_bytes() }
 }
