Platform front: FastCGI in, executor lines out, on the one engine loop

The engine loop is generic over a backend: webhooks' content and runner client became one (dispatch.rs), the platform is another.

--- a/crates/badgerwind-cli/src/lib.rs
+++ b/crates/badgerwind-cli/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod demo;
 pub mod keys;
 pub mod outbox;
+pub mod platform;
 pub mod send;
 pub mod serve;
 pub mod standin;
--- a/crates/badgerwind-cli/src/main.rs
+++ b/crates/badgerwind-cli/src/main.rs
@@ -1,6 +1,6 @@
 //! `badgerwind`: a gateway that hands calls to workers which load functions or models when asked.
 
-use badgerwind_cli::{control, day, demo, keys, send, serve, standin, trace, Stop};
+use badgerwind_cli::{control, day, demo, keys, platform, send, serve, standin, trace, Stop};
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
 
@@ -15,6 +15,8 @@
 enum Command {
     /// Serve as a front end until SIGTERM
     Serve(serve::Args),
+    /// Serve as a front end on the platform: FastCGI in, executor lines out, by its configuration
+    Platform(platform::Args),
     /// Check a settings file and the key files that it names
     Check(serve::CheckArgs),
     /// Make keys
@@ -39,6 +41,7 @@
 fn main() -> ExitCode {
     let done = match Args::parse().command {
         Command::Serve(args) => serve::serve(&args),
+        Command::Platform(args) => platform::run(&args),
         Command::Check(args) => serve::check(&args),
         Command::Keys(command) => keys::run(&command),
         Command::Send(args) => send::run(&args),
--- a/crates/badgerwind-gateway/src/control.rs
+++ b/crates/badgerwind-gateway/src/control.rs
@@ -3,7 +3,7 @@
 //! `badgerwind-config`.
 
 use crate::clock::Clock;
-use crate::engine::Control;
+use crate::engine::{Control, Terms};
 use crate::front::{Front, Rules};
 use crate::runners::Runners;
 use crate::secrets;
@@ -12,7 +12,7 @@
 use badgerwind::Router;
 use badgerwind_config::client::{Client, Do, Input, Times};
 use badgerwind_config::parts::{Kind, Part};
-use badgerwind_config::shadow::{shadow, Recorded};
+use badgerwind_config::shadow::{limits, shadow, Recorded};
 use badgerwind_config::wire::{DiscoveryRequest, DiscoveryResponse, Health};
 use badgerwind_config::{keep, Report};
 use badgerwind_http::{Exchange, Pool, PoolBounds};
@@ -259,7 +259,8 @@
                 let seed = if settings.seed == 0 { fastrand::u64(..) } else { settings.seed };
                 let decider = Box::new(Router::new(seed, settings.router.clone()));
                 let (done, wait) = async_channel::bounded(1);
-                let change = Control::Change { decider, settings: settings.clone(), done };
+                let terms = Terms::new(limits(&settings), &settings.router);
+                let change = Control::Change { decider, terms, done };
                 if me.engine.send(change).await.is_err() {
                     return;
                 }
--- a/crates/badgerwind-gateway/src/front.rs
+++ b/crates/badgerwind-gateway/src/front.rs
@@ -6,7 +6,7 @@
 use crate::answers::{remembers, Kept};
 use crate::callbacks::Owed;
 use crate::clock::{unix_micros, unix_seconds, Clock};
-use crate::engine::{Content, Ended, Input, Origin};
+use crate::dispatch::{Content, Ended, Input, Origin};
 use crate::metrics::Metrics;
 use crate::runners::Reply;
 use crate::trace::TraceParent;
--- a/crates/badgerwind-gateway/src/list.rs
+++ b/crates/badgerwind-gateway/src/list.rs
@@ -1,6 +1,6 @@
 //! The client of the list service, and the last list on disk.
 
-use crate::engine::{Input, ListCall};
+use crate::dispatch::{Input, ListCall};
 use crate::metrics::Metrics;
 use crate::runners::Runners;
 use crate::serve::ListFilter;
--- a/crates/badgerwind-gateway/src/peers.rs
+++ b/crates/badgerwind-gateway/src/peers.rs
@@ -4,7 +4,7 @@
 //! bytes (RFC 2104 section 5). The counter only grows within a sender's life and starts at its wall clock, so a
 //! datagram that comes again is passed over.
 
-use crate::engine::Input;
+use crate::dispatch::Input;
 use async_channel::Sender;
 use badgerwind_webhook::Key;
 use hmac::{Hmac, KeyInit, Mac};
--- /dev/null
+++ b/crates/badgerwind-gateway/src/platform/executors.rs
@@ -0,0 +1,453 @@
+//! The connections to executors: which of them takes what, when one is opened, and what its end proves.
+
+use super::shell::{Content, Input, Shell};
+use super::wire::Wire;
+use badgerwind::interface::*;
+use badgerwind_driver::{AttemptEnd, CallOff, OrderId};
+use badgerwind_platform::board::{Listed, News};
+use badgerwind_platform::line;
+use badgerwind_platform::link::{End, Link, Off, Task};
+use futures_lite::FutureExt;
+use smol::{Async, Timer};
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// What goes out with an attempt, and how often it was put on a connection that broke before it was out whole.
+#[derive(Clone)]
+pub(super) struct Out {
+    content: Rc<Content>,
+    again: u8,
+}
+
+/// Connections that may break under one attempt before its last byte is out: then the executor counts as unreachable.
+const AGAIN: u8 = 2;
+/// Reads from one connection before others have their turn.
+const READS: usize = 4;
+/// The board's word and an attempt's first byte cross; this much of the drain's grace is left unused, in microseconds.
+const MARGIN: Span = 5_000;
+
+pub(super) struct Connection {
+    worker: WorkerId,
+    wire: RefCell<Option<Rc<Wire>>>,
+    link: RefCell<Link<Out>>,
+    closing: Cell<bool>,
+    dirty: Cell<bool>,
+}
+
+struct Executor {
+    address: SocketAddr,
+    /// Since when nothing new may go there, and whether it is gone.
+    leaving: Option<Time>,
+    gone: bool,
+    /// Last sign of life over any connection.
+    heard: Time,
+    links: Vec<Rc<Connection>>,
+}
+
+#[derive(Default)]
+pub(super) struct Executors {
+    all: RefCell<HashMap<WorkerId, Executor>>,
+    /// Connections up or coming up.
+    open: Cell<usize>,
+    dirty: RefCell<Vec<Rc<Connection>>>,
+    probes: Cell<u64>,
+}
+
+impl Executors {
+    /// Takes in where executors are and whether they take work.
+    pub(super) fn listed(&self, now: Time, news: &News) {
+        let mut all = self.all.borrow_mut();
+        if news.kind != ListKind::Changes {
+            let named = |id: &WorkerId| news.entries.iter().any(|l| l.entry.worker == *id);
+            for (_, e) in all.iter_mut().filter(|(id, _)| !named(id)) {
+                (e.gone, e.leaving) = (true, e.leaving.or(Some(now)));
+            }
+        }
+        for Listed { entry, address } in &news.entries {
+            let e = all.entry(entry.worker).or_insert_with(|| Executor {
+                address: *address,
+                leaving: None,
+                gone: false,
+                heard: 0,
+                links: Vec::new(),
+            });
+            if e.address != *address {
+                // Another machine: nothing new goes over what leads to the old one.
+                e.links.iter().for_each(|c| c.retire());
+                (e.address, e.heard) = (*address, 0);
+            }
+            e.gone = entry.availability == Availability::Gone;
+            e.leaving = match entry.availability {
+                Availability::Ready => None,
+                _ => e.leaving.or(Some(now)),
+            };
+        }
+        for e in all.values_mut().filter(|e| e.gone) {
+            e.links.iter().for_each(|c| c.retire());
+        }
+        // One that is gone is forgotten once nothing of it is left.
+        all.retain(|_, e| !e.gone || !e.links.is_empty());
+    }
+
+    pub(super) fn attempt(
+        &self,
+        shell: &Rc<Shell>,
+        now: Time,
+        worker: WorkerId,
+        (id, attempt, content, limit): (RequestId, u32, Rc<Content>, Time),
+    ) {
+        let content = Out { content, again: 0 };
+        self.put(shell, now, worker, Task::Attempt { id, attempt, content, limit }, false);
+    }
+
+    pub(super) fn order(
+        &self,
+        shell: &Rc<Shell>,
+        now: Time,
+        worker: WorkerId,
+        order: OrderId,
+        key: &str,
+        copies: u32,
+    ) {
+        self.put(shell, now, worker, Task::Order { order, key: key.to_owned(), copies }, false);
+    }
+
+    pub(super) fn unload(&self, shell: &Rc<Shell>, now: Time, worker: WorkerId, key: &str) {
+        self.put(shell, now, worker, Task::Unload(key.to_owned()), false);
+    }
+
+    pub(super) fn probe(&self, shell: &Rc<Shell>, now: Time, worker: WorkerId) {
+        let number = self.probes.replace(self.probes.get() + 1);
+        self.put(shell, now, worker, Task::Probe(number), false);
+    }
+
+    /// Puts something on one of an executor's connections. An attempt has one of its own while descriptors last, since
+    /// one spoilt answer costs all that share it; orders share one. Where nothing was heard of the executor
+    /// lately, a new connection shows first that it is there: on an old one silence would prove nothing.
+    fn put(&self, shell: &Rc<Shell>, now: Time, worker: WorkerId, task: Task<Out>, anew: bool) {
+        let mut all = self.all.borrow_mut();
+        let Some(e) = all.get_mut(&worker) else {
+            drop(all);
+            return shell.unsent(worker, task, Outcome::ConnectFailed);
+        };
+        let id = match &task {
+            Task::Attempt { id, .. } => id.clone(),
+            _ => "".into(),
+        };
+        let sign_of_life = 2 * shell.transport.connect_timeout;
+        let fresh = !anew && now <= e.heard + sign_of_life;
+        let usable = |c: &&Rc<Connection>| !c.closing.get() && c.link.borrow().takes(&id);
+        let of_orders = |c: &&Rc<Connection>| c.link.borrow().only_orders();
+        let idle = |c: &&Rc<Connection>| c.link.borrow().busy() == 0 && c.wire.borrow().is_some();
+        let attempt = matches!(task, Task::Attempt { .. });
+        let pick = e.links.iter().filter(usable).filter(|_| fresh);
+        let own = match attempt {
+            true => pick.filter(idle).max_by_key(|c| c.link.borrow().used),
+            false => pick.filter(of_orders).max_by_key(|c| c.link.borrow().busy()),
+        };
+        let mut own = own.cloned();
+        if own.is_none() {
+            drop(all);
+            let room = self.open.get() < shell.shares.executors || self.evict(worker);
+            all = self.all.borrow_mut();
+            let Some(e) = all.get_mut(&worker) else { return };
+            if room {
+                let c = Rc::new(Connection {
+                    worker,
+                    wire: RefCell::default(),
+                    link: RefCell::new(Link::new(now)),
+                    closing: Cell::default(),
+                    dirty: Cell::default(),
+                });
+                e.links.push(c.clone());
+                self.open.set(self.open.get() + 1);
+                shell.tasks.spawn(shell.clone().drive(c.clone(), e.address)).detach();
+                own = Some(c);
+            } else {
+                let fits = |c: &&Rc<Connection>| c.link.borrow().busy() < shell.transport.streams;
+                let usable = |c: &&Rc<Connection>| !c.closing.get() && c.link.borrow().takes(&id);
+                own = e
+                    .links
+                    .iter()
+                    .filter(usable)
+                    .filter(fits)
+                    .min_by_key(|c| c.link.borrow().busy())
+                    .cloned();
+            }
+        }
+        drop(all);
+        match own {
+            Some(c) => {
+                c.link.borrow_mut().push(now, task);
+                self.mark(c);
+            }
+            None => shell.unsent(worker, task, Outcome::ConnectFailed),
+        }
+    }
+
+    /// Closes the connection that has been idle for longest; false where none is.
+    fn evict(&self, but: WorkerId) -> bool {
+        let all = self.all.borrow();
+        let links = all.iter().filter(|(id, _)| **id != but).flat_map(|(_, e)| &e.links);
+        let idle = links.filter(|c| c.idle() && !c.closing.get());
+        let oldest = idle.min_by_key(|c| c.link.borrow().used);
+        if let Some(c) = oldest {
+            c.close();
+        }
+        oldest.is_some()
+    }
+
+    fn mark(&self, c: Rc<Connection>) {
+        if !c.dirty.replace(true) {
+            self.dirty.borrow_mut().push(c);
+        }
+    }
+
+    /// Writes what is ready, one write for each connection.
+    pub(super) fn flush(&self, shell: &Rc<Shell>) {
+        for c in self.dirty.take() {
+            c.dirty.set(false);
+            shell.push_out(&c);
+        }
+    }
+
+    pub(super) fn call_off(
+        &self,
+        shell: &Rc<Shell>,
+        worker: WorkerId,
+        id: &RequestId,
+        attempt: u32,
+        why: CallOff,
+    ) {
+        let links = self.all.borrow().get(&worker).map(|e| e.links.clone()).unwrap_or_default();
+        let mut ends = Vec::new();
+        for c in links {
+            let off = c.link.borrow_mut().off(id, attempt, why, &mut ends);
+            match off {
+                Off::Unknown => continue,
+                Off::Done => self.mark(c),
+                Off::Cut => shell.broken(&c, false),
+            }
+            break;
+        }
+        for end in ends {
+            match end {
+                // Called off before it went out: it never ran, and is not to go out any more.
+                End::Unsent(task) => shell.unsent(worker, task, Outcome::ConnectFailed),
+                end => shell.end(worker, end),
+            }
+        }
+    }
+
+    pub(super) fn close_idle(&self, worker: WorkerId) {
+        if let Some(e) = self.all.borrow().get(&worker) {
+            e.links.iter().filter(|c| c.idle()).for_each(|c| c.close());
+        }
+    }
+
+    /// Closes what has been idle for so long that the other side might.
+    pub(super) fn sweep(&self, shell: &Shell, now: Time) {
+        let long = shell.transport.idle_close / 4 * 3;
+        let mut lines = 0;
+        for c in self.all.borrow().values().flat_map(|e| &e.links) {
+            if c.idle() && (now > c.link.borrow().used + long || c.link.borrow().spent()) {
+                c.close();
+            }
+            lines += c.link.borrow().held();
+        }
+        if lines > shell.shares.lines {
+            tracing::warn!(lines, "executors send lines without end");
+        }
+    }
+}
+
+impl Connection {
+    fn idle(&self) -> bool {
+        self.link.borrow().busy() == 0 && self.wire.borrow().is_some()
+    }
+
+    fn close(&self) {
+        self.closing.set(true);
+        if let Some(wire) = &*self.wire.borrow() {
+            wire.wake();
+        }
+    }
+
+    /// Takes nothing new; closed at once where nothing is on it.
+    fn retire(&self) {
+        if self.idle() {
+            self.close();
+        }
+    }
+}
+
+impl Shell {
+    /// Begins what waits on a connection, and writes what its socket takes.
+    fn push_out(self: &Rc<Self>, c: &Rc<Connection>) {
+        let Some(wire) = c.wire.borrow().clone() else { return };
+        let (now, mut ends) = (self.clock.now(), Vec::new());
+        // Looked at again now that the first byte goes: what was queued may not go out after the drain's limit.
+        let leaving = self.executors.all.borrow().get(&c.worker).and_then(|e| e.leaving);
+        let barred = leaving.is_some_and(|at| now + MARGIN > at + self.set.drain_grace);
+        let mut link = c.link.borrow_mut();
+        link.begin(|task, out| self.line(now, barred, task, out), &mut ends);
+        let failed = match wire.write(link.out()) {
+            Ok(n) => {
+                link.sent(n, &mut ends);
+                // A call-off that cannot go out: only the end of the connection gives its attempt up now.
+                link.kills()
+            }
+            Err(_) => true,
+        };
+        if !link.out().is_empty() {
+            wire.wake();
+        }
+        drop(link);
+        for end in ends {
+            match end {
+                End::Unsent(task) => self.unsent(c.worker, task, Outcome::ConnectFailed),
+                end => self.end(c.worker, end),
+            }
+        }
+        if failed {
+            self.broken(c, false);
+        }
+    }
+
+    /// Appends the line of a task; false where it must not go out any more.
+    fn line(&self, now: Time, barred: bool, task: &Task<Out>, out: &mut Vec<u8>) -> bool {
+        match task {
+            Task::Attempt { content: Out { content, .. }, limit, .. } => {
+                let ms = limit.saturating_sub(now) / 1000;
+                if barred || ms == 0 {
+                    return false;
+                }
+                let kind = self.names.classes.get(content.class).map_or("", String::as_str);
+                let (id, obj, body) = (&*content.id, &*content.key, &*content.body);
+                line::call(out, &line::Call { id, kind, obj, ms, body });
+            }
+            Task::Order { copies, .. } if barred && *copies > 0 => return false,
+            Task::Order { order, key, copies } => {
+                line::load(out, &badgerwind_platform::link::order_tag(*order), key, *copies);
+            }
+            Task::Probe(number) => line::probe(out, &badgerwind_platform::link::probe_tag(*number)),
+            Task::Unload(key) => line::unload(out, key),
+        }
+        true
+    }
+
+    /// It never ran.
+    fn unsent(&self, worker: WorkerId, task: Task<Out>, outcome: Outcome) {
+        match task {
+            Task::Attempt { id, attempt, .. } => {
+                self.tell(Input::AttemptEnded { id, attempt, end: AttemptEnd::plain(outcome) });
+            }
+            Task::Order { order, .. } => self.tell(Input::OrderEnded { order, outcome, copies: 0 }),
+            Task::Probe(_) => self.tell(Input::ProbeEnded { worker, outcome, report: None }),
+            Task::Unload(_) => {}
+        }
+    }
+
+    fn end(&self, worker: WorkerId, end: End<Out>) {
+        match end {
+            End::Attempt(id, attempt, end) => {
+                self.tell(Input::AttemptEnded { id, attempt, end });
+            }
+            End::Order(order, outcome, copies) => self.tell(Input::OrderEnded { order, outcome, copies }),
+            End::Probe(outcome) => self.tell(Input::ProbeEnded { worker, outcome, report: None }),
+            End::Unsent(task) => self.unsent(worker, task, Outcome::ConnectFailed),
+        }
+    }
+
+    /// A connection is over: everything on it ends. What never went out whole goes over a new one, since a connection that
+    /// was up shows that the executor is there.
+    fn broken(self: &Rc<Self>, c: &Rc<Connection>, spoilt: bool) {
+        let was_up = c.wire.borrow().is_some();
+        let mut ends = Vec::new();
+        c.link.borrow_mut().broken(spoilt, &mut ends);
+        c.close();
+        for end in ends {
+            match end {
+                End::Unsent(Task::Attempt { id, attempt, mut content, limit })
+                    if was_up && content.again < AGAIN =>
+                {
+                    content.again += 1;
+                    let task = Task::Attempt { id, attempt, content, limit };
+                    self.executors.put(self, self.clock.now(), c.worker, task, true);
+                }
+                end => self.end(c.worker, end),
+            }
+        }
+    }
+
+    /// A connection's life.
+    async fn drive(self: Rc<Self>, c: Rc<Connection>, address: SocketAddr) {
+        self.connected(&c, address).await;
+        self.broken(&c, false);
+        *c.wire.borrow_mut() = None;
+        let mut all = self.executors.all.borrow_mut();
+        if let Some(e) = all.get_mut(&c.worker) {
+            e.links.retain(|l| !Rc::ptr_eq(l, &c));
+            if e.gone && e.links.is_empty() {
+                all.remove(&c.worker);
+            }
+        }
+        self.executors.open.set(self.executors.open.get().saturating_sub(1));
+    }
+
+    async fn connected(self: &Rc<Self>, c: &Rc<Connection>, address: SocketAddr) {
+        let late = async {
+            Timer::after(Duration::from_micros(self.transport.connect_timeout)).await;
+            Err(std::io::ErrorKind::TimedOut.into())
+        };
+        let Ok(stream) = Async::<TcpStream>::connect(address).or(late).await else { return };
+        if c.closing.get() {
+            return;
+        }
+        *c.wire.borrow_mut() = Some(Rc::new(Wire::new(stream)));
+        let heard = |now| {
+            c.link.borrow_mut().heard = now;
+            if let Some(e) = self.executors.all.borrow_mut().get_mut(&c.worker) {
+                e.heard = now;
+            }
+        };
+        heard(self.clock.now());
+        self.push_out(c);
+        let mut ends = Vec::new();
+        while !c.closing.get() {
+            let Some(wire) = c.wire.borrow().clone() else { return };
+            wire.ready(true, || !c.link.borrow().out().is_empty()).await;
+            if c.closing.get() {
+                return;
+            }
+            for _ in 0..READS {
+                let mut scratch = self.scratch.borrow_mut();
+                let n = match wire.read(&mut scratch) {
+                    Ok(Some(0)) | Err(_) => return,
+                    Ok(Some(n)) => n,
+                    Ok(None) => break,
+                };
+                let now = self.clock.now();
+                heard(now);
+                let fed = c.link.borrow_mut().feed(now, &scratch[..n], &mut ends);
+                drop(scratch);
+                ends.drain(..).for_each(|end| self.end(c.worker, end));
+                if fed.is_err() {
+                    return self.broken(c, true);
+                }
+                if n < 4096 {
+                    break;
+                }
+            }
+            if !c.link.borrow().out().is_empty() {
+                self.push_out(c);
+            }
+            if c.link.borrow().spent() && c.idle() {
+                return;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/badgerwind-gateway/src/platform/mod.rs
@@ -0,0 +1,197 @@
+//! The platform front: the same engine and driver, with web servers' FastCGI on one side and executors' lines on the
+//! other, all on one thread. Nothing here decides where a call goes or whether it is tried again.
+
+mod board;
+mod clients;
+mod executors;
+mod shell;
+mod wire;
+
+use crate::clock::Clock;
+use crate::engine::{Control, Engine, EngineEnd, Terms};
+use async_signal::{Signal, Signals};
+use badgerwind::Router;
+use badgerwind_driver::{Decider, Limits};
+use badgerwind_platform::board::Follower;
+use badgerwind_platform::config::{self, BadConfig, Config};
+use board::Board;
+use futures_lite::{FutureExt, StreamExt};
+use shell::{Platform, Shell};
+use smol::{Async, Timer};
+use std::cell::{Cell, RefCell};
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+/// How long requests still come after SIGTERM (PROTOCOL page, "Figures"), and a little more.
+const LATE_ARRIVALS: Duration = Duration::from_millis(750);
+/// The longest deadline counts as this at the least.
+const LEAST_DEADLINE: Duration = Duration::from_secs(3);
+/// How often idle connections are looked at.
+const SWEEP: Duration = Duration::from_millis(250);
+
+/// What a platform front end is started with.
+pub struct PlatformOptions {
+    /// The configuration file, read again on SIGHUP.
+    pub config: PathBuf,
+    /// Where to listen, in place of the configuration's word.
+    pub listen: Option<SocketAddr>,
+}
+
+/// Why a platform front end could not serve, or has ended.
+#[derive(Debug, thiserror::Error)]
+pub enum PlatformError {
+    /// The configuration cannot be read.
+    #[error("{file}: {error}")]
+    Read {
+        /// The file.
+        file: String,
+        /// Why.
+        error: std::io::Error,
+    },
+    /// It cannot be used.
+    #[error("{file}: {error}")]
+    Config {
+        /// The file.
+        file: String,
+        /// What is wrong.
+        error: BadConfig,
+    },
+    /// An address could not be listened on.
+    #[error("cannot listen on {address}: {error}")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// Why.
+        error: std::io::Error,
+    },
+    /// Messages or signals cannot be heard.
+    #[error("cannot start: {0}")]
+    Start(std::io::Error),
+    /// The decision module has failed; everything was answered as failed.
+    #[error("the decision module failed: {0}")]
+    ModuleFailed(String),
+}
+
+fn load(path: &Path) -> Result<Config, PlatformError> {
+    let file = || path.display().to_string();
+    let text = std::fs::read(path).map_err(|error| PlatformError::Read { file: file(), error })?;
+    config::read(&text).map_err(|error| PlatformError::Config { file: file(), error })
+}
+
+/// What the driver is bounded by. A probe takes no longer than a connection may take to come up; a call-off is
+/// confirmed in the batch in which its line goes out.
+fn limits(config: &Config, most_held: usize) -> Limits {
+    let set = &config.router;
+    Limits {
+        most_held,
+        max_attempts: set.max_attempts,
+        order_timeout: set.order_timeout,
+        probe_timeout: config.transport.connect_timeout,
+        call_off_within: config.transport.connect_timeout,
+        answer_slack: set.answer_slack,
+    }
+}
+
+/// Serves until SIGTERM.
+pub fn serve_platform(options: &PlatformOptions) -> Result<(), PlatformError> {
+    let config = load(&options.config)?;
+    let clock = Clock::start();
+    let (inputs, from_shell) = async_channel::unbounded();
+    let shell = Shell::new(&config, clock, inputs).map_err(PlatformError::Start)?;
+    let address = options.listen.unwrap_or(config.listen);
+    let listener = Async::<TcpListener>::bind(address);
+    let listener = Rc::new(listener.map_err(|error| PlatformError::Listen { address, error })?);
+    let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(PlatformError::Start)?;
+    let (control, controls) = async_channel::bounded(4);
+    let engine = Engine {
+        clock,
+        inputs: from_shell,
+        control: controls,
+        owed: Arc::default(),
+        lag: Arc::default(),
+        backend: Platform(shell.clone()),
+    };
+    let decider: Box<dyn Decider + Send> = Box::new(Router::new(config.seed, config.router.clone()));
+    let terms = Terms::new(limits(&config, shell.shares.open), &config.router);
+    config.known.iter().for_each(|n| shell.news(n));
+    let board = Rc::new(Board {
+        address: Cell::new(config.board),
+        changed: Default::default(),
+        follower: RefCell::new(Follower::new(config.last)),
+        places: config.places(),
+    });
+    let tasks = &shell.tasks;
+    tasks.spawn(shell.clone().follow(board.clone())).detach();
+    tasks.spawn(shell.clone().sweeps()).detach();
+    let hear = shell.clone();
+    tasks
+        .spawn(async move {
+            if let Some(peers) = &hear.peers {
+                peers.listen(&hear).await;
+            }
+        })
+        .detach();
+    let accepting = tasks.spawn(shell.clone().accept(listener));
+    let longest = config.router.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
+    tracing::info!(name = %config.name, %address, sockets = config.limits.sockets, "serving");
+    drop(config);
+    let ended = tasks.spawn(engine.run(decider, terms));
+    let stop = async {
+        shell.signals(signals, &options.config, &board).await;
+        shell.stop(accepting, Duration::from_micros(longest).max(LEAST_DEADLINE)).await;
+        let _ = control.send(Control::End).await;
+        futures_lite::future::pending::<EngineEnd>().await
+    };
+    let end = smol::block_on(tasks.run(ended.or(stop)));
+    shell.clients.flush();
+    match end {
+        EngineEnd::Asked => Ok(()),
+        EngineEnd::ModuleFailed(text) => Err(PlatformError::ModuleFailed(text)),
+    }
+}
+
+impl Shell {
+    async fn sweeps(self: Rc<Self>) {
+        loop {
+            Timer::after(SWEEP).await;
+            let now = self.clock.now();
+            self.clients.sweep(now);
+            self.executors.sweep(&self, now);
+        }
+    }
+
+    /// Takes SIGHUP until SIGTERM or SIGINT comes.
+    async fn signals(&self, mut signals: Signals, path: &Path, board: &Board) {
+        while let Some(signal) = signals.next().await {
+            match signal {
+                Ok(Signal::Hup) => match load(path) {
+                    Ok(config) => {
+                        tracing::info!(board = %config.board, "the configuration was read again");
+                        board.address.set(config.board);
+                        board.changed.tell();
+                    }
+                    Err(e) => tracing::error!("the configuration stays as it was: {e}"),
+                },
+                _ => return,
+            }
+        }
+    }
+
+    /// Answers what still comes and what is open, until nothing is or the time is up.
+    async fn stop(&self, accepting: smol::Task<()>, longest: Duration) {
+        self.stopping.set(true);
+        let began = Instant::now();
+        tracing::info!(open = self.clients.open(), "stopping");
+        Timer::after(LATE_ARRIVALS).await;
+        drop(accepting);
+        self.closed.set(true);
+        while (self.clients.open() > 0 || !self.clients.all_sent())
+            && began.elapsed() < longest + LATE_ARRIVALS / 2
+        {
+            Timer::after(Duration::from_millis(10)).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/badgerwind-gateway/src/platform/shell.rs
@@ -0,0 +1,189 @@
+//! What the parts of the platform front share, on one thread: settings, shares, the way to the engine.
+
+use super::clients::Clients;
+use super::executors::Executors;
+use crate::clock::Clock;
+use crate::engine::{Backend, InputOf, OutputOf};
+use async_channel::Sender;
+use badgerwind::interface::*;
+use badgerwind_driver::Output;
+use badgerwind_instance::{Names, Transport};
+use badgerwind_platform::config::Config;
+use badgerwind_platform::shares::Shares;
+use smol::{Async, LocalExecutor};
+use std::cell::{Cell, RefCell};
+use std::net::{SocketAddr, UdpSocket};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// What an executor needs of a call.
+#[derive(Debug)]
+pub(crate) struct Content {
+    pub id: RequestId,
+    pub class: usize,
+    pub key: FunctionId,
+    pub body: Vec<u8>,
+    pub handed: Time,
+}
+
+/// Whom to answer: a request on a connection. The serial tells it from an earlier one under the same number.
+#[derive(Debug)]
+pub(crate) struct Caller {
+    pub connection: u64,
+    pub number: u16,
+    pub serial: u64,
+}
+
+pub(crate) type Input = InputOf<Platform>;
+
+pub(super) struct Shell {
+    pub clock: Clock,
+    pub names: Names,
+    pub set: Settings,
+    pub transport: Transport,
+    pub shares: Shares,
+    /// Never more in it than what is open: each call, attempt, order and probe puts in one end.
+    pub inputs: Sender<Input>,
+    pub tasks: LocalExecutor<'static>,
+    /// Where sockets are read into; handed on before the next read.
+    pub scratch: RefCell<Vec<u8>>,
+    pub clients: Clients,
+    pub executors: Executors,
+    pub peers: Option<Peers>,
+    /// SIGTERM has come.
+    pub stopping: Cell<bool>,
+    /// The time in which calls still come after it is over.
+    pub closed: Cell<bool>,
+}
+
+/// The datagrams between front ends.
+pub(super) struct Peers {
+    pub socket: Async<UdpSocket>,
+    pub peers: Vec<SocketAddr>,
+    pub all: Option<SocketAddr>,
+    pub own: u32,
+}
+
+/// The longest message.
+const MESSAGE: usize = 256;
+
+impl Shell {
+    /// A shell and its sockets for messages. `inputs` leads to the engine.
+    pub(super) fn new(config: &Config, clock: Clock, inputs: Sender<Input>) -> std::io::Result<Rc<Shell>> {
+        let peers = match config.peer_listen.filter(|_| config.router.may_message) {
+            Some(address) => Some(Peers {
+                socket: Async::<UdpSocket>::bind(address)?,
+                peers: config.peers.clone(),
+                all: config.peers_all,
+                own: config.router.my_number,
+            }),
+            None => None,
+        };
+        Ok(Rc::new(Shell {
+            clock,
+            names: config.names.clone(),
+            set: config.router.clone(),
+            transport: config.transport,
+            shares: Shares::of(&config.limits, config.transport.most_held),
+            inputs,
+            tasks: LocalExecutor::new(),
+            scratch: RefCell::new(vec![0; 64 * 1024]),
+            clients: Clients::default(),
+            executors: Executors::default(),
+            peers,
+            stopping: Cell::new(false),
+            closed: Cell::new(false),
+        }))
+    }
+
+    /// Tells the engine; it has ended where that fails, and so will the process.
+    pub(super) fn tell(&self, input: Input) {
+        let _ = self.inputs.try_send(input);
+    }
+}
+
+impl Peers {
+    fn tell(&self, to: Option<u32>, bytes: &[u8]) {
+        let bytes = &bytes[..bytes.len().min(MESSAGE)];
+        let address = match to {
+            None => self.all,
+            Some(n) => self.peers.get(n as usize).copied().filter(|_| n != self.own),
+        };
+        if let Some(address) = address {
+            // What cannot be sent at once is lost, as datagrams are.
+            let _ = self.socket.get_ref().send_to(bytes, address);
+        }
+    }
+
+    /// Hands on what comes from front ends of the tier, for ever.
+    pub(super) async fn listen(&self, shell: &Shell) {
+        let mut buf = [0u8; MESSAGE + 1];
+        loop {
+            let Ok((n, from)) = self.socket.recv_from(&mut buf).await else {
+                smol::Timer::after(Duration::from_millis(20)).await;
+                continue;
+            };
+            let number = self.peers.iter().position(|p| *p == from).map(|n| n as u32);
+            if let Some(from) = number.filter(|&f| n <= MESSAGE && f != self.own) {
+                let bytes = buf[..n].to_vec();
+                if shell.inputs.len() < shell.shares.open {
+                    shell.tell(Input::Heard { from, bytes });
+                }
+            }
+        }
+    }
+}
+
+/// The platform's way through the engine.
+pub(crate) struct Platform(pub(super) Rc<Shell>);
+
+impl Backend for Platform {
+    type Origin = Caller;
+    type Content = Rc<Content>;
+    type Reply = Vec<u8>;
+
+    fn module(_: &Rc<Content>) -> u64 {
+        0
+    }
+
+    fn handed(content: &Rc<Content>) -> Time {
+        content.handed
+    }
+
+    fn observe(&mut self, _: Time, _: &Input) {}
+
+    fn carry(&mut self, now: Time, output: OutputOf<Self>) {
+        let shell = &self.0;
+        match output {
+            Output::Final { origin, answer, .. } => shell.clients.answer(shell, &origin, &answer),
+            Output::Stream { origin, reply, .. } => {
+                // No class of the platform streams; an answer begun is an answer.
+                shell.clients.answer(shell, &origin, &badgerwind_driver::Final::Served(reply));
+            }
+            Output::Attempt { id, attempt, worker, content, limit } => {
+                shell.executors.attempt(shell, now, worker, (id, attempt, content, limit));
+            }
+            Output::CallOff { id, attempt, worker, why } => {
+                shell.executors.call_off(shell, worker, &id, attempt, why);
+            }
+            Output::Order { order, worker, function, copies, .. } => {
+                shell.executors.order(shell, now, worker, order, &function, copies);
+            }
+            Output::Drop { worker, function } => shell.executors.unload(shell, now, worker, &function),
+            Output::Probe { worker } => shell.executors.probe(shell, now, worker),
+            Output::CloseIdle { worker } => shell.executors.close_idle(worker),
+            Output::Tell { to, bytes } => {
+                if let Some(peers) = &shell.peers {
+                    peers.tell(to, &bytes);
+                }
+            }
+            // The notice board tells without being asked. Log and Broken are the engine's own.
+            Output::Subscribe { .. } | Output::FetchList | Output::Log { .. } | Output::Broken { .. } => {}
+        }
+    }
+
+    fn settled(&mut self, _: usize, _: Duration) {
+        self.0.executors.flush(&self.0);
+        self.0.clients.flush();
+    }
+}
--- a/crates/badgerwind-gateway/src/runners.rs
+++ b/crates/badgerwind-gateway/src/runners.rs
@@ -1,6 +1,6 @@
 //! The runners: where each listens, and the calls, call-offs, orders and probes that go to them.
 
-use crate::engine::{Content, Input};
+use crate::dispatch::{Content, Input};
 use async_channel::{Receiver, Sender};
 use badgerwind::interface::*;
 use badgerwind_attempts::Fence;
--- a/crates/badgerwind-gateway/src/serve.rs
+++ b/crates/badgerwind-gateway/src/serve.rs
@@ -2,7 +2,8 @@
 
 use crate::clock::Clock;
 use crate::control::{Follower, Following};
-use crate::engine::{Control, Engine, EngineEnd};
+use crate::dispatch::Dispatch;
+use crate::engine::{Control, Engine, EngineEnd, Terms};
 use crate::front::{bounds, guard_bounds, Counts, Front, Rules};
 use crate::list::Lister;
 use crate::metrics::{self, Metrics};
@@ -12,6 +13,7 @@
 use async_channel::{Receiver, Sender};
 use badgerwind::interface::WorkerEntry;
 use badgerwind::Router;
+use badgerwind_config::shadow::limits;
 use badgerwind_config::{Client, Report};
 use badgerwind_driver::Decider;
 use badgerwind_guard::Guard;
@@ -180,27 +182,25 @@
 
     let owed = Arc::new(AtomicUsize::new(0));
     let lag: Arc<Mutex<badgerwind_driver::Lag>> = Arc::default();
-    let engine = Engine {
+    let backend = Dispatch {
         clock,
-        inputs,
         report: report.clone(),
-        control: controls,
         runners: runners.clone(),
         peers,
         ask_list,
         metrics: metrics.clone(),
-        owed: owed.clone(),
-        lag: lag.clone(),
+        attempts: Default::default(),
     };
+    let engine = Engine { clock, inputs, control: controls, owed: owed.clone(), lag: lag.clone(), backend };
     let seed = if settings.seed == 0 { fastrand::u64(..) } else { settings.seed };
     let decider = decider.unwrap_or_else(|| Box::new(Router::new(seed, set.clone())));
     let (end, ended) = async_channel::bounded(1);
-    let begun = settings.clone();
+    let terms = Terms::new(limits(&settings), set);
     let thread = std::thread::Builder::new().name("engine".into());
     thread
         .spawn(move || {
             // Dropping the channel tells of an engine that ended in any other way.
-            let _ = end.try_send(smol::block_on(engine.run(decider, begun)));
+            let _ = end.try_send(smol::block_on(engine.run(decider, terms)));
         })
         .map_err(ServeError::Thread)?;
 
--- /dev/null
+++ b/crates/badgerwind-platform/src/board.rs
@@ -0,0 +1,157 @@
+//! The notice board's frames, and what a front end has of its events.
+
+use crate::config::Places;
+use badgerwind::interface::{Availability, ListKind, WorkerEntry, WorkerId};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
+
+/// Bytes of a record.
+const RECORD: usize = 27;
+/// Bytes that a frame counts beside its payload.
+const BESIDE: usize = 9;
+/// Records in one frame, at the most.
+const MOST: usize = 20_000;
+
+/// An entry of the list, and where it listens.
+#[derive(Clone, Debug)]
+pub struct Listed {
+    /// What the module is told.
+    pub entry: WorkerEntry,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// Events taken in together.
+#[derive(Clone, Debug)]
+pub struct News {
+    /// Whole or changes.
+    pub kind: ListKind,
+    /// The entries.
+    pub entries: Vec<Listed>,
+}
+
+/// What makes a connection to the board useless; it is asked anew from the last event had.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum BadFrame {
+    /// A length that no frame has.
+    #[error("a frame of {0} bytes")]
+    Length(usize),
+    /// A kind that is not known.
+    #[error("a frame of kind {0}")]
+    Kind(u8),
+    /// Events are missing.
+    #[error("event {came} came after {had}")]
+    Gap {
+        /// The last that was had.
+        had: u64,
+        /// The one that came.
+        came: u64,
+    },
+    /// A record names a state or place that is not known.
+    #[error("a record that cannot be used")]
+    Record,
+}
+
+/// What a front end has of the board's events.
+#[derive(Clone, Debug, Default)]
+pub struct Follower {
+    last: u64,
+    /// Events were missing from the last event on, so that all is asked for.
+    from_start: bool,
+    come: Vec<u8>,
+}
+
+impl Follower {
+    /// One that has all up to this event.
+    pub fn new(last: u64) -> Self {
+        Follower { last, ..Follower::default() }
+    }
+
+    /// A new connection begins: what is to be written on it.
+    pub fn ask(&mut self) -> [u8; 8] {
+        self.come.clear();
+        if self.from_start { 0 } else { self.last }.to_be_bytes()
+    }
+
+    /// The last event had.
+    pub fn last(&self) -> u64 {
+        self.last
+    }
+
+    /// Takes bytes in. After an error the board is asked anew.
+    pub fn feed(&mut self, places: &Places, bytes: &[u8], news: &mut Vec<News>) -> Result<(), BadFrame> {
+        self.come.extend_from_slice(bytes);
+        let come = std::mem::take(&mut self.come);
+        let mut rest = &come[..];
+        while let Some((length, after)) = rest.split_first_chunk::<4>() {
+            let length = u32::from_be_bytes(*length) as usize;
+            if !(BESIDE..=BESIDE + MOST * RECORD).contains(&length) {
+                return Err(BadFrame::Length(length));
+            }
+            let Some((frame, after)) = after.split_at_checked(length) else { break };
+            self.frame(places, frame, news)?;
+            rest = after;
+        }
+        self.come = rest.to_vec();
+        Ok(())
+    }
+
+    fn frame(&mut self, places: &Places, frame: &[u8], news: &mut Vec<News>) -> Result<(), BadFrame> {
+        let Some((number, [kind, payload @ ..])) = frame.split_first_chunk::<8>() else {
+            return Err(BadFrame::Length(frame.len()));
+        };
+        let number = u64::from_be_bytes(*number);
+        let kind = match kind {
+            0 if number > self.last => return Err(self.gap(number)),
+            0 => return Ok(()),
+            1 => ListKind::Whole,
+            2 => ListKind::Changes,
+            other => return Err(BadFrame::Kind(*other)),
+        };
+        if number <= self.last && !(self.from_start && kind == ListKind::Whole) {
+            return Ok(()); // had before
+        }
+        // A whole list needs nothing before it.
+        if number > self.last + 1 && kind == ListKind::Changes {
+            return Err(self.gap(number));
+        }
+        if payload.len() % RECORD != 0 {
+            return Err(BadFrame::Length(frame.len()));
+        }
+        let entries = payload.chunks_exact(RECORD).map(|r| record(places, r)).collect::<Option<Vec<_>>>();
+        let entries = entries.ok_or(BadFrame::Record)?;
+        (self.last, self.from_start) = (number, false);
+        news.push(News { kind, entries });
+        Ok(())
+    }
+
+    fn gap(&mut self, came: u64) -> BadFrame {
+        self.from_start = true;
+        BadFrame::Gap { had: self.last, came }
+    }
+}
+
+fn record(places: &Places, r: &[u8]) -> Option<Listed> {
+    let four = |n: usize| u32::from_be_bytes([r[n], r[n + 1], r[n + 2], r[n + 3]]);
+    let two = |n: usize| u16::from_be_bytes([r[n], r[n + 1]]);
+    let started = u64::from(four(19)) << 32 | u64::from(four(23));
+    let availability = match r[10] {
+        0 => Availability::Ready,
+        1 => Availability::Draining,
+        2 => Availability::Gone,
+        _ => return None,
+    };
+    let (zone, kind) = (u32::from(r[11]), u32::from(r[12]));
+    if zone as usize >= places.zones.max(1) || kind as usize >= places.kinds.max(1) {
+        return None;
+    }
+    let entry = WorkerEntry {
+        worker: four(0) as WorkerId,
+        zone,
+        cell: u32::from(two(13)),
+        kind,
+        size: f64::from(four(15)) / 1000.0,
+        availability,
+        born: (started > 0).then(|| started.saturating_mul(1000)),
+    };
+    Some(Listed { entry, address: SocketAddrV4::new(Ipv4Addr::from(four(4)), two(8)).into() })
+}
--- /dev/null
+++ b/crates/badgerwind-platform/src/link.rs
@@ -0,0 +1,340 @@
+//! One connection to an executor: what waits, what has begun to go out, what is out whole. From this alone follows how
+//! an attempt ended: one whose last byte was never handed over has never run, any other may have. No I/O, no clock.
+
+use crate::line::{self, Said};
+use badgerwind::interface::{CopyMark, Outcome, RequestId, Time};
+use badgerwind_driver::{AttemptEnd, CallOff, OrderId};
+use std::collections::VecDeque;
+
+/// Attempts given up whose answers may still come; beyond them a connection is used up.
+const GHOSTS: usize = 32;
+
+/// Something to be sent. `C` is the content of a call.
+#[derive(Clone, Debug)]
+pub enum Task<C> {
+    /// An attempt.
+    Attempt {
+        /// The request.
+        id: RequestId,
+        /// The attempt.
+        attempt: u32,
+        /// What goes out.
+        content: C,
+        /// Its time is up then.
+        limit: Time,
+    },
+    /// An order to load.
+    Order {
+        /// Its name.
+        order: OrderId,
+        /// The function.
+        key: String,
+        /// Copies wanted.
+        copies: u32,
+    },
+    /// A probe and its number.
+    Probe(u64),
+    /// An order to unload; nothing answers it.
+    Unload(String),
+}
+
+/// What is owed an end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Owed {
+    /// An attempt.
+    Attempt(RequestId, u32),
+    /// An order to load.
+    Order(OrderId),
+    /// A probe.
+    Probe,
+}
+
+/// How something ended.
+#[derive(Debug)]
+pub enum End<C> {
+    /// An attempt, by an answer, a call-off or a break after its last byte.
+    Attempt(RequestId, u32, AttemptEnd<Vec<u8>>),
+    /// An order, with the copies that stand.
+    Order(OrderId, Outcome, u32),
+    /// A probe.
+    Probe(Outcome),
+    /// It never went out whole, so it never ran: it may go another way.
+    Unsent(Task<C>),
+}
+
+/// Why a connection cannot be used any more.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Spoilt {
+    /// A line that is no answer.
+    #[error("an answer that cannot be read")]
+    Line,
+    /// A line without end.
+    #[error("a line of more than {} bytes", line::MOST)]
+    Endless,
+}
+
+/// What became of a call-off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Off {
+    /// It is not here.
+    Unknown,
+    /// It was waiting, or is given up by a line that goes out next: its end comes.
+    Done,
+    /// Part of its line is out: only the end of the connection keeps the rest back.
+    Cut,
+}
+
+#[derive(Debug)]
+struct Open {
+    name: RequestId,
+    owed: Owed,
+}
+
+/// What ends with a byte of what goes out.
+#[derive(Debug)]
+enum Begun<C> {
+    Task(Task<C>),
+    Kill(RequestId, u32, CallOff),
+}
+
+/// A connection.
+#[derive(Debug)]
+pub struct Link<C> {
+    queue: VecDeque<Task<C>>,
+    out: Vec<u8>,
+    sent: usize,
+    /// Lines in `out`, each with the place of its end.
+    begun: VecDeque<(usize, Begun<C>)>,
+    open: Vec<Open>,
+    ghosts: VecDeque<RequestId>,
+    /// Part of a line.
+    come: Vec<u8>,
+    suspect: bool,
+    /// Last sign of life.
+    pub heard: Time,
+    /// When it last became idle or was given something.
+    pub used: Time,
+}
+
+impl<C> Link<C> {
+    /// A connection that is up, or coming up.
+    pub fn new(now: Time) -> Self {
+        Link {
+            queue: VecDeque::new(),
+            out: Vec::new(),
+            sent: 0,
+            begun: VecDeque::new(),
+            open: Vec::new(),
+            ghosts: VecDeque::new(),
+            come: Vec::new(),
+            suspect: false,
+            heard: now,
+            used: now,
+        }
+    }
+
+    /// What is on it.
+    pub fn busy(&self) -> usize {
+        self.queue.len() + self.begun.len() + self.open.len()
+    }
+
+    /// Whether everything on it is an order or a probe.
+    pub fn only_orders(&self) -> bool {
+        let is = |t: &Task<C>| !matches!(t, Task::Attempt { .. });
+        let begun = |(_, b): &(usize, Begun<C>)| matches!(b, Begun::Task(t) if is(t));
+        let open = |o: &Open| !matches!(o.owed, Owed::Attempt(..));
+        self.queue.iter().all(is) && self.begun.iter().all(begun) && self.open.iter().all(open)
+    }
+
+    /// Whether it takes something new for this id: not where an answer to an earlier attempt may still come.
+    pub fn takes(&self, id: &str) -> bool {
+        let same = |o: &Open| &*o.name == id;
+        !self.suspect && !self.ghosts.iter().any(|g| &**g == id) && !self.open.iter().any(same)
+    }
+
+    /// Whether it is of no more use once nothing is on it.
+    pub fn spent(&self) -> bool {
+        self.suspect
+    }
+
+    /// Puts something in line.
+    pub fn push(&mut self, now: Time, task: Task<C>) {
+        self.used = now;
+        self.queue.push_back(task);
+    }
+
+    /// Begins what is in line. `write` appends its line, or says false where it must not go out any more.
+    pub fn begin(&mut self, mut write: impl FnMut(&Task<C>, &mut Vec<u8>) -> bool, ends: &mut Vec<End<C>>) {
+        for task in self.queue.drain(..) {
+            let from = self.out.len();
+            if write(&task, &mut self.out) {
+                self.begun.push_back((self.out.len(), Begun::Task(task)));
+            } else {
+                self.out.truncate(from);
+                ends.push(End::Unsent(task));
+            }
+        }
+    }
+
+    /// What is to be sent.
+    pub fn out(&self) -> &[u8] {
+        &self.out[self.sent..]
+    }
+
+    /// So many bytes of it were handed over.
+    pub fn sent(&mut self, bytes: usize, ends: &mut Vec<End<C>>) {
+        self.sent += bytes;
+        while self.begun.front().is_some_and(|(end, _)| *end <= self.sent) {
+            let Some((_, begun)) = self.begun.pop_front() else { break };
+            let task = match begun {
+                Begun::Task(task) => task,
+                Begun::Kill(id, attempt, why) => {
+                    ends.push(off(id, attempt, why));
+                    continue;
+                }
+            };
+            let (name, owed): (RequestId, Owed) = match task {
+                Task::Attempt { id, attempt, .. } => (id.clone(), Owed::Attempt(id, attempt)),
+                Task::Order { order, .. } => (order_tag(order).into(), Owed::Order(order)),
+                Task::Probe(number) => (probe_tag(number).into(), Owed::Probe),
+                Task::Unload(_) => continue,
+            };
+            self.open.push(Open { name, owed });
+        }
+        if self.sent >= self.out.len() {
+            self.sent = 0;
+            self.out.clear();
+            self.out.shrink_to(4096);
+        }
+    }
+
+    /// Calls an attempt off.
+    pub fn off(&mut self, id: &RequestId, attempt: u32, why: CallOff, ends: &mut Vec<End<C>>) -> Off {
+        let is =
+            |t: &Task<C>| matches!(t, Task::Attempt { id: i, attempt: a, .. } if i == id && *a == attempt);
+        if let Some(task) = self.queue.iter().position(is).and_then(|n| self.queue.remove(n)) {
+            ends.push(End::Unsent(task));
+            return Off::Done;
+        }
+        let owed = Owed::Attempt(id.clone(), attempt);
+        if let Some(n) = self.open.iter().position(|o| o.owed == owed) {
+            self.open.swap_remove(n);
+            line::kill(&mut self.out, id);
+            self.begun.push_back((self.out.len(), Begun::Kill(id.clone(), attempt, why)));
+            self.ghosts.push_back(id.clone());
+            self.suspect |= self.ghosts.len() > GHOSTS;
+            return Off::Done;
+        }
+        if self.begun.iter().any(|(_, b)| matches!(b, Begun::Task(t) if is(t))) {
+            return Off::Cut;
+        }
+        Off::Unknown
+    }
+
+    /// Takes bytes in. An error: the connection is spoilt, and is to be broken off.
+    pub fn feed(&mut self, now: Time, mut bytes: &[u8], ends: &mut Vec<End<C>>) -> Result<(), Spoilt> {
+        self.heard = now;
+        while let Some(n) = bytes.iter().position(|b| *b == b'\n') {
+            let (head, rest) = (&bytes[..n], &bytes[n + 1..]);
+            bytes = rest;
+            if self.come.len() + head.len() > line::MOST {
+                return Err(Spoilt::Endless);
+            }
+            let said = if self.come.is_empty() {
+                line::read(head)
+            } else {
+                self.come.extend_from_slice(head);
+                let said = line::read(&self.come);
+                self.come.clear();
+                self.come.shrink_to(4096);
+                said
+            };
+            self.said(now, said.map_err(|_| Spoilt::Line)?, ends)?;
+        }
+        if self.come.len() + bytes.len() > line::MOST {
+            return Err(Spoilt::Endless);
+        }
+        self.come.extend_from_slice(bytes);
+        Ok(())
+    }
+
+    fn said(&mut self, now: Time, said: Said, ends: &mut Vec<End<C>>) -> Result<(), Spoilt> {
+        let Some(n) = self.open.iter().position(|o| *o.name == *said.req) else {
+            match self.ghosts.iter().position(|g| **g == *said.req) {
+                // The answer to an attempt that was given up crossed its call-off.
+                Some(n) => _ = self.ghosts.remove(n),
+                // An answer to nothing: what came before it and what is open still counts, but nothing new.
+                None => self.suspect = true,
+            }
+            return Ok(());
+        };
+        let end = match &self.open[n].owed {
+            Owed::Attempt(id, attempt) => {
+                let outcome = said.word.attempt().ok_or(Spoilt::Line)?;
+                let crowd = matches!(outcome, Outcome::Ok | Outcome::Full).then_some(said.crowd);
+                let reply = (outcome == Outcome::Ok).then_some(said.body);
+                let end = AttemptEnd { outcome, mark: said.mark, crowd, report: None, reply };
+                End::Attempt(id.clone(), *attempt, end)
+            }
+            Owed::Order(order) => End::Order(*order, said.word.order().ok_or(Spoilt::Line)?, said.copies),
+            Owed::Probe => End::Probe(said.word.probe().ok_or(Spoilt::Line)?),
+        };
+        self.open.swap_remove(n);
+        self.used = now;
+        ends.push(end);
+        Ok(())
+    }
+
+    /// The connection has ended, or is to be. What was out whole may have run; the rest never did. A spoilt answer
+    /// that can only have been the one attempt's is that attempt's error.
+    pub fn broken(&mut self, spoilt: bool, ends: &mut Vec<End<C>>) {
+        let attempts = self.open.iter().filter(|o| matches!(o.owed, Owed::Attempt(..))).count();
+        let outcome = if spoilt && attempts == 1 { Outcome::Error } else { Outcome::Reset };
+        for open in self.open.drain(..) {
+            ends.push(match open.owed {
+                Owed::Attempt(id, attempt) => End::Attempt(id, attempt, AttemptEnd::plain(outcome)),
+                Owed::Order(order) => End::Order(order, Outcome::Reset, 0),
+                Owed::Probe => End::Probe(Outcome::Reset),
+            });
+        }
+        for (_, begun) in self.begun.drain(..) {
+            ends.push(match begun {
+                Begun::Task(task) => End::Unsent(task),
+                // The end of the connection gives it up as well.
+                Begun::Kill(id, attempt, why) => off(id, attempt, why),
+            });
+        }
+        ends.extend(self.queue.drain(..).map(End::Unsent));
+        (self.suspect, self.sent) = (true, 0);
+        self.out = Vec::new();
+        self.come = Vec::new();
+    }
+
+    /// Whether an attempt given up still waits for its line to go out.
+    pub fn kills(&self) -> bool {
+        self.begun.iter().any(|(_, b)| matches!(b, Begun::Kill(..)))
+    }
+
+    /// Bytes of a line that has begun to come.
+    pub fn held(&self) -> usize {
+        self.come.len()
+    }
+}
+
+fn off<C>(id: RequestId, attempt: u32, why: CallOff) -> End<C> {
+    let outcome = match why {
+        CallOff::Cancelled => Outcome::Cancelled,
+        CallOff::TimedOut => Outcome::Timeout,
+    };
+    End::Attempt(id, attempt, AttemptEnd { mark: CopyMark::Untold, ..AttemptEnd::plain(outcome) })
+}
+
+/// A tag of an order; no id begins so.
+pub fn order_tag(order: OrderId) -> String {
+    format!("load-{}", order.0)
+}
+
+/// The same of a probe.
+pub fn probe_tag(number: u64) -> String {
+    format!("probe-{number}")
+}
