Platform front: stories and property tests; a connection with unsent bytes no longer spins

Seen: a client that took no answers was never broken off in a story test; 43 calls had gone out, the process used a whole core. Change: only the write at the end of a batch wakes the task. Bodies of open calls count towards their share.

--- /dev/null
+++ b/crates/badgerwind-cli/tests/platform/executors.rs
@@ -0,0 +1,151 @@
+//! What executors do, and what that means for a call.
+
+use crate::rig::*;
+use badgerwind_standins::platform::executor::{hit, say, well, Do, Seen};
+use badgerwind_standins::platform::until;
+use badgerwind_standins::platform::web::Ask;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+fn book(n: u64) -> Ask {
+    Ask { class: "book".into(), ..Ask::new(n) }
+}
+
+/// Does something else with calls only.
+fn calls(with: impl Fn(&Seen) -> Vec<Do> + Send + Sync + 'static) -> Script {
+    Box::new(move |s| if s.word == "FN" { with(s) } else { well(s) })
+}
+
+#[test]
+fn a_call_goes_through_unchanged_and_comes_back_as_it_was_given() {
+    let rig = Rig::well();
+    assert_eq!(rig.health(), 200);
+    let ask = Ask { body: (0..=255).cycle().take(16 * 1024).collect(), ..Ask::new(7) };
+    let answer = rig.call(&ask);
+    assert_eq!((answer.status, answer.ended, &answer.body), (200, 0, &ask.body));
+    let seen = rig.executors[0].words("FN");
+    let (line, meta) = (&seen[0].line, &seen[0].line["meta"]);
+    assert_eq!((line["req"].as_str(), meta["kind"].as_str()), (Some(&*ask.id), Some("look")));
+    assert_eq!(meta["obj"].as_str(), Some(&*ask.key));
+    let ms = meta["ms"].as_u64().unwrap();
+    assert!(ms > 2000 && ms <= 3000, "{ms}");
+    let empty = Ask { body: vec![], ..Ask::new(8) };
+    assert_eq!((rig.call(&empty).status, rig.call(&empty).body.len()), (200, 0));
+}
+
+/// The module gives up what may have run and must not run twice: the client hears of it then, not near its deadline.
+#[test]
+fn a_call_that_was_given_up_is_answered_at_once() {
+    let rig = Rig::start(vec![calls(|s| vec![Do::Write(say("FAULT", s))])]);
+    let began = Instant::now();
+    let wait_ms = 20_000;
+    assert_eq!(rig.call(&Ask { wait_ms, ..book(1) }).status, 502);
+    assert!(began.elapsed() < Duration::from_secs(5), "{:?}", began.elapsed());
+    assert_eq!(rig.executors[0].words("FN").len(), 1, "it is never tried again");
+    // One that may be repeated uses up its attempts, and is refused then.
+    let refused = rig.call(&Ask { wait_ms, ..Ask::new(2) });
+    assert_eq!((refused.status, rig.executors[0].words("FN").len()), (503, 5));
+    assert!(began.elapsed() < Duration::from_secs(15), "{:?}", began.elapsed());
+}
+
+#[test]
+fn what_never_ran_is_tried_again_even_where_it_must_not_run_twice() {
+    let tried = AtomicUsize::new(0);
+    let rig = Rig::start(vec![calls(move |s| match tried.fetch_add(1, Ordering::Relaxed) {
+        0 => vec![Do::Write(say("SHED", s))],
+        1 => vec![Do::Write(say("NONE", s))],
+        _ => vec![Do::Write(hit(s))],
+    })]);
+    assert_eq!(rig.call(&book(1)).status, 200);
+    assert_eq!(rig.executors[0].words("FN").len(), 3);
+}
+
+#[test]
+fn a_connection_reset_under_a_call_leaves_open_whether_it_ran() {
+    let rig = Rig::start(vec![calls(|_| vec![Do::Close])]);
+    assert_eq!(rig.call(&book(1)).status, 502);
+    assert_eq!(rig.executors[0].words("FN").len(), 1);
+}
+
+#[test]
+fn spoilt_answers_cost_their_own_call_and_no_other() {
+    for junk in [&b"noise\n"[..], b"{\"type\":\"HIT\",\"req\":\"", b"\xff\xfe\n", b"{\"type\":\"HIT\"}\n"] {
+        let slow = b"5lowa5lowa";
+        let rig = Rig::start(vec![calls(move |s| match s.line["data"].as_str() {
+            Some("c2xvdw==") => vec![Do::Wait(Duration::from_millis(400)), Do::Write(hit(s))],
+            _ => vec![Do::Write(junk.to_vec()), Do::Write(slow.to_vec()), Do::Close],
+        })]);
+        let mut other = rig.web();
+        other.ask(1, &Ask { body: b"slow".to_vec(), ..book(1) }).unwrap();
+        assert!(until(|| rig.executors[0].words("FN").len() == 1));
+        assert_eq!(rig.call(&book(2)).status, 502);
+        let answer = other.answer().unwrap();
+        assert_eq!((answer.status, &answer.body[..]), (200, &b"slow"[..]));
+    }
+}
+
+#[test]
+fn an_answer_without_end_is_given_up_and_takes_no_memory() {
+    let rig = Rig::start(vec![calls(|_| vec![Do::Write(vec![b'x'; 1_000_000]); 60])]);
+    let before = rig.memory();
+    assert_eq!(rig.call(&book(1)).status, 502);
+    assert!(rig.memory() < before + 4096, "{} {before}", rig.memory());
+}
+
+#[test]
+fn an_answer_to_nothing_ahead_of_the_good_one_is_passed_over() {
+    let rig = Rig::start(vec![calls(|s| {
+        let mut other = s.clone();
+        other.req = "0123456789abcdef".into();
+        vec![Do::Write([hit(&other), hit(s), hit(s)].concat())]
+    })]);
+    for n in 0..5 {
+        let answer = rig.call(&book(n));
+        assert_eq!((answer.status, answer.body), (200, format!("body {n}").into_bytes()));
+    }
+    let connections: std::collections::BTreeSet<_> =
+        rig.executors[0].words("FN").iter().map(|s| s.connection).collect();
+    assert_eq!(connections.len(), 5, "a connection that says too much takes nothing new");
+}
+
+#[test]
+fn a_client_that_withdraws_has_its_attempt_killed_and_its_number_free() {
+    let rig = Rig::start(vec![calls(|s| match s.line["data"].as_str() {
+        Some("c2xvdw==") => vec![Do::Wait(Duration::from_secs(2)), Do::Write(hit(s))],
+        _ => vec![Do::Write(hit(s))],
+    })]);
+    let mut web = rig.web();
+    let slow = Ask { body: b"slow".to_vec(), ..Ask::new(1) };
+    web.ask(1, &slow).unwrap();
+    assert!(until(|| rig.executors[0].words("FN").len() == 1));
+    web.abort(1).unwrap();
+    assert!(until(|| rig.executors[0].words("KILL").iter().any(|s| s.req == slow.id)));
+    web.ask(1, &Ask::new(2)).unwrap();
+    let answer = web.answer().unwrap();
+    assert_eq!((answer.number, answer.status, &answer.body[..]), (1, 200, &b"body 2"[..]));
+}
+
+/// A vanished machine says nothing: it takes no call that must not run twice over a connection of before.
+#[test]
+fn one_that_was_silent_for_long_is_asked_over_a_new_connection() {
+    let rig = Rig::well();
+    assert_eq!(rig.call(&book(1)).status, 200);
+    std::thread::sleep(Duration::from_millis(700)); // longer than a sign of life counts
+    assert_eq!(rig.call(&book(2)).status, 200);
+    let seen = rig.executors[0].words("FN");
+    assert_ne!(seen[0].connection, seen[1].connection);
+}
+
+#[test]
+fn calls_share_no_connection_while_there_are_descriptors_and_connections_are_used_again() {
+    let rig = Rig::start(vec![calls(|s| vec![Do::Wait(Duration::from_millis(100)), Do::Write(hit(s))])]);
+    let mut web = rig.web();
+    for round in 0..3u64 {
+        (0..4).for_each(|n| web.ask(n as u16 + 1, &Ask::new(round * 10 + n)).unwrap());
+        (0..4).for_each(|_| assert_eq!(web.answer().unwrap().status, 200));
+    }
+    let seen = rig.executors[0].words("FN");
+    let used: std::collections::BTreeSet<_> = seen.iter().map(|s| s.connection).collect();
+    assert_eq!(seen.len(), 12);
+    assert!((4..=6).contains(&used.len()), "{used:?}");
+}
--- /dev/null
+++ b/crates/badgerwind-cli/tests/platform/life.rs
@@ -0,0 +1,148 @@
+//! Starts, stops, another configuration, and news of the executors.
+
+use crate::rig::*;
+use badgerwind_standins::platform::board::{record, Board, Mood};
+use badgerwind_standins::platform::executor::{hit, well, Do, Executor};
+use badgerwind_standins::platform::until;
+use badgerwind_standins::platform::web::Ask;
+use std::process::Command;
+use std::time::{Duration, Instant};
+
+const READY: u8 = 0;
+const DRAINING: u8 = 1;
+const GONE: u8 = 2;
+
+/// Asks until one is served by this executor, which the front end may still have to hear of.
+fn comes_to(rig: &Rig, executor: &Executor) -> bool {
+    let mut n = executor.address.port().into();
+    until(|| {
+        n += 100_000;
+        rig.call(&Ask { wait_ms: 300, ..Ask::new(n) });
+        !executor.words("FN").is_empty()
+    })
+}
+
+#[test]
+fn news_of_an_executor_brings_it_calls_whatever_the_boards_mood() {
+    for mood in [Mood::Well, Mood::Twice, Mood::Breaks] {
+        let rig = Rig::start(vec![]);
+        assert!(until(|| !rig.board.asked().is_empty()));
+        let new = Executor::start(well).unwrap();
+        rig.board.mood(mood);
+        rig.board.tell(&[record(77, new.address, READY)]);
+        assert!(comes_to(&rig, &new), "{mood:?}");
+        let asked = rig.board.asked();
+        assert!(asked.iter().all(|n| *n == 1), "asked for what was missed, not for what was had: {asked:?}");
+        assert_eq!(asked.len(), if mood == Mood::Breaks { 2 } else { 1 });
+    }
+}
+
+#[test]
+fn a_board_that_falls_silent_is_asked_anew() {
+    let rig = Rig::start(vec![]);
+    assert!(until(|| !rig.board.asked().is_empty()));
+    rig.board.mood(Mood::Silent);
+    let since = Instant::now();
+    assert!(until(|| rig.board.asked().len() > 1));
+    assert!(since.elapsed() < Duration::from_secs(5), "{:?}", since.elapsed());
+}
+
+#[test]
+fn one_that_drains_or_is_gone_takes_nothing_new_and_another_at_its_address_does() {
+    let rig = Rig::well();
+    assert_eq!(rig.call(&Ask::new(1)).status, 200);
+    let address = rig.executors[0].address;
+    rig.board.tell(&[record(id(0), address, DRAINING)]);
+    rig.board.tell(&[record(id(0), address, GONE)]);
+    // Refused or failed from some moment on: nobody else is there.
+    let mut n = 10;
+    assert!(until(|| {
+        n += 1;
+        rig.call(&Ask { wait_ms: 200, ..Ask::new(n) }).status != 200
+    }));
+    let before = rig.executors[0].words("FN").len();
+    rig.call(&Ask { wait_ms: 700, ..Ask::new(2) });
+    assert_eq!(rig.executors[0].words("FN").len(), before);
+    rig.board.tell(&[record(99, address, READY)]);
+    assert!(until(|| {
+        n += 1;
+        rig.call(&Ask { wait_ms: 300, ..Ask::new(n) }).status == 200
+    }));
+}
+
+#[test]
+fn another_board_is_followed_after_sighup_and_a_file_that_cannot_be_read_changes_nothing() {
+    let mut rig = Rig::well();
+    assert!(until(|| rig.board.asked().len() == 1));
+    rig.replace("{ not json");
+    rig.signal("-HUP");
+    assert_eq!(rig.call(&Ask::new(1)).status, 200);
+    rig.board.tell(&[record(50, rig.executors[0].address, READY)]);
+    let other = Board::start(3).unwrap();
+    let mut config = rig.config.clone();
+    config["board"] = other.address.to_string().into();
+    // The event of before is had when the new one is asked: its numbers go on.
+    std::thread::sleep(Duration::from_millis(200));
+    rig.replace(&config.to_string());
+    rig.signal("-HUP");
+    assert!(until(|| other.asked() == [2]), "{:?}", other.asked());
+    assert!(rig.runs());
+    assert_eq!(rig.call(&Ask::new(2)).status, 200);
+}
+
+#[test]
+fn sigterm_ends_it_once_all_that_was_taken_is_answered() {
+    let mut rig = Rig::start(vec![Box::new(|s| match s.word.as_str() {
+        "FN" => vec![Do::Wait(Duration::from_millis(600)), Do::Write(hit(s))],
+        _ => well(s),
+    })]);
+    let mut before = rig.web();
+    before.ask(1, &Ask::new(1)).unwrap();
+    assert!(until(|| rig.executors[0].words("FN").len() == 1));
+    rig.signal("-TERM");
+    assert!(until(|| rig.health() == 503), "it says that it stops");
+    let late = rig.call(&Ask::new(2));
+    assert_eq!((late.status, before.answer().unwrap().status), (200, 200));
+    assert_eq!(rig.ended(), Some(0));
+}
+
+#[test]
+fn a_configuration_that_cannot_be_used_is_told_by_its_place() {
+    let folder = tempfile::tempdir().unwrap();
+    let path = folder.path().join("config.json");
+    let run = || {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_badgerwind"));
+        let out = command.arg("platform").env("BALANCER_CONFIG", &path).output().unwrap();
+        (out.status.code(), String::from_utf8(out.stderr).unwrap())
+    };
+    let (code, text) = run();
+    assert!(code == Some(2) && text.contains("config.json"), "{code:?} {text}");
+    let rig = Rig::well();
+    let mut config = rig.config.clone();
+    config["known"]["notices"][0]["pool"]["members"][0]["phase"] = "asleep".into();
+    std::fs::write(&path, config.to_string()).unwrap();
+    let (code, text) = run();
+    assert_eq!((code, text.lines().count()), (Some(2), 1), "{text}");
+    assert!(text.contains("notices[0]") && text.contains("asleep"), "{text}");
+}
+
+/// Nothing is kept of executors and connections that have gone.
+#[test]
+fn executors_and_connections_that_come_and_go_leave_nothing() {
+    let rig = Rig::well();
+    let address = rig.executors[0].address;
+    rig.board.tell(&[record(id(0), address, GONE)]);
+    let turn = |from: u32| {
+        for n in from..from + 40 {
+            let gone = (n > 1).then(|| record(n - 1, address, GONE));
+            rig.board.tell(&[gone.into_iter().collect::<Vec<_>>().concat(), record(n, address, READY)]);
+            rig.call(&Ask { wait_ms: 200, ..Ask::new(n.into()) });
+        }
+    };
+    turn(1);
+    let (memory, descriptors) = (rig.memory(), rig.descriptors());
+    turn(1000);
+    turn(2000);
+    assert!(rig.memory() < memory + 1024, "{} {memory}", rig.memory());
+    assert!(rig.descriptors() <= descriptors + 10, "{} {descriptors}", rig.descriptors());
+}
--- /dev/null
+++ b/crates/badgerwind-cli/tests/platform/main.rs
@@ -0,0 +1,6 @@
+//! The platform front as a program of its own, between scripted web servers, executors and a notice board.
+
+mod executors;
+mod hostile;
+mod life;
+mod rig;
--- /dev/null
+++ b/crates/badgerwind-cli/tests/platform/rig.rs
@@ -0,0 +1,133 @@
+//! A front end's process with its configuration, and what stands around it.
+
+use badgerwind_standins::platform::board::Board;
+use badgerwind_standins::platform::executor::{well, Do, Executor, Seen};
+use badgerwind_standins::platform::web::{Answer, Ask, Web};
+use badgerwind_standins::platform::{configuration, member, until};
+use serde_json::Value;
+use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+use std::sync::mpsc;
+use std::time::Duration;
+
+/// What an executor does with a line.
+pub type Script = Box<dyn Fn(&Seen) -> Vec<Do> + Send + Sync>;
+
+pub struct Rig {
+    pub board: Board,
+    pub executors: Vec<Executor>,
+    pub address: SocketAddr,
+    pub config: Value,
+    child: Child,
+    path: PathBuf,
+    _folder: tempfile::TempDir,
+}
+
+/// The id under which an executor of the rig is listed.
+pub fn id(n: usize) -> u32 {
+    0xa000_0000 + n as u32
+}
+
+impl Rig {
+    /// A front end with executors that do what these scripts say.
+    pub fn start(scripts: Vec<Script>) -> Rig {
+        Rig::with(scripts, |_| {})
+    }
+
+    /// The same, with a configuration changed before it starts.
+    pub fn with(scripts: Vec<Script>, change: impl FnOnce(&mut Value)) -> Rig {
+        let board = Board::start(2).unwrap();
+        let executors: Vec<_> = scripts.into_iter().map(|s| Executor::start(s).unwrap()).collect();
+        let listed = executors.iter().enumerate().map(|(n, e)| member(id(n), e.address, "in_service"));
+        let mut config =
+            configuration("127.0.0.1:0".parse().unwrap(), board.address, &listed.collect::<Vec<_>>());
+        change(&mut config);
+        let folder = tempfile::tempdir().unwrap();
+        let path = folder.path().join("config.json");
+        std::fs::write(&path, config.to_string()).unwrap();
+        let mut child = Command::new(env!("CARGO_BIN_EXE_badgerwind"))
+            .arg("platform")
+            .env("BALANCER_CONFIG", &path)
+            .stderr(Stdio::piped())
+            .spawn()
+            .unwrap();
+        let (tell, told) = mpsc::channel();
+        let lines = BufReader::new(child.stderr.take().unwrap()).lines();
+        std::thread::spawn(move || {
+            for line in lines.map_while(Result::ok) {
+                if let Some((_, rest)) = line.split_once("address=") {
+                    let _ = tell.send(rest.split(' ').next().unwrap().parse().unwrap());
+                }
+            }
+        });
+        let address = told.recv_timeout(Duration::from_secs(20)).expect("it says where it serves");
+        Rig { board, executors, address, config, child, path, _folder: folder }
+    }
+
+    /// One executor that does well.
+    pub fn well() -> Rig {
+        Rig::start(vec![Box::new(well)])
+    }
+
+    pub fn web(&self) -> Web {
+        Web::connect(self.address).unwrap()
+    }
+
+    /// One call on a connection of its own.
+    pub fn call(&self, ask: &Ask) -> Answer {
+        let mut web = self.web();
+        web.ask(1, ask).unwrap();
+        web.answer().unwrap()
+    }
+
+    /// Whether a front end's health says that it serves.
+    pub fn health(&self) -> u16 {
+        let mut web = self.web();
+        web.healthy(1).unwrap();
+        web.answer().unwrap().status
+    }
+
+    pub fn signal(&self, name: &str) {
+        let id = self.child.id().to_string();
+        assert!(Command::new("kill").args([name, &id]).status().unwrap().success());
+    }
+
+    /// Puts another configuration in place of the file.
+    pub fn replace(&self, text: &str) {
+        std::fs::write(&self.path, text).unwrap();
+    }
+
+    /// Descriptors that the process holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
+    }
+
+    /// Its resident memory in KiB.
+    pub fn memory(&self) -> u64 {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
+        let line = text.lines().find(|l| l.starts_with("VmRSS:")).unwrap();
+        line.split_whitespace().nth(1).unwrap().parse().unwrap()
+    }
+
+    /// Waits for its end: the exit code.
+    pub fn ended(&mut self) -> Option<i32> {
+        let mut code = None;
+        until(|| {
+            code = self.child.try_wait().unwrap();
+            code.is_some()
+        });
+        code.and_then(|c| c.code())
+    }
+
+    pub fn runs(&mut self) -> bool {
+        self.child.try_wait().unwrap().is_none()
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        let _ = (self.child.kill(), self.child.wait()); // it may have ended
+    }
+}
--- a/crates/badgerwind-gateway/src/platform/clients.rs
+++ b/crates/badgerwind-gateway/src/platform/clients.rs
@@ -36,12 +36,19 @@
     /// Since when answers wait to be taken.
     stuck: Cell<Option<Time>>,
     asked: Cell<bool>,
-    /// Open requests: their serial and id.
-    calls: RefCell<BTreeMap<u16, (u64, RequestId)>>,
+    calls: RefCell<BTreeMap<u16, Open>>,
     closing: Cell<bool>,
     dirty: Cell<bool>,
 }
 
+/// An open request.
+struct Open {
+    serial: u64,
+    id: RequestId,
+    /// Bytes of its body.
+    bytes: usize,
+}
+
 #[derive(Default)]
 pub(super) struct Clients {
     connections: RefCell<HashMap<u64, Rc<Connection>>>,
@@ -49,7 +56,7 @@
     dirty: RefCell<Vec<Rc<Connection>>>,
     /// Ids of open requests.
     ids: RefCell<HashSet<RequestId>>,
-    /// Bytes of bodies of open requests; each body's share is given back with its content.
+    /// Bytes of bodies of open requests.
     bodies: Cell<usize>,
 }
 
@@ -69,11 +76,11 @@
         let Some(c) = self.connections.borrow().get(&to.connection).cloned() else { return };
         {
             let mut calls = c.calls.borrow_mut();
-            if calls.get(&to.number).is_none_or(|(serial, _)| *serial != to.serial) {
+            if calls.get(&to.number).is_none_or(|open| open.serial != to.serial) {
                 return;
             }
-            if let Some((_, id)) = calls.remove(&to.number) {
-                self.ids.borrow_mut().remove(&id);
+            if let Some(open) = calls.remove(&to.number) {
+                self.forget(&open);
             }
         }
         let answer = match answer {
@@ -91,6 +98,11 @@
         self.mark(c);
     }
 
+    fn forget(&self, open: &Open) {
+        self.ids.borrow_mut().remove(&open.id);
+        self.bodies.set(self.bodies.get() - open.bytes);
+    }
+
     fn mark(&self, c: Rc<Connection>) {
         if !c.dirty.replace(true) {
             self.dirty.borrow_mut().push(c);
@@ -102,6 +114,11 @@
         for c in self.dirty.take() {
             c.dirty.set(false);
             c.flush();
+            // Its task waits for the rest to go out, or ends.
+            let m = c.machine.borrow();
+            if !m.out().is_empty() || m.doomed() || c.closing.get() {
+                c.wire.wake();
+            }
         }
     }
 
@@ -162,9 +179,6 @@
         if m.out().is_empty() {
             self.stuck.set(None);
         }
-        if !m.out().is_empty() || m.doomed() || self.closing.get() {
-            self.wire.wake();
-        }
     }
 }
 
@@ -248,9 +262,9 @@
             }
         }
         self.clients.connections.borrow_mut().remove(&c.number);
-        for (_, (_, id)) in c.calls.take() {
-            self.clients.ids.borrow_mut().remove(&id);
-            self.tell(Input::CallerLeft { id });
+        for open in c.calls.take().into_values() {
+            self.clients.forget(&open);
+            self.tell(Input::CallerLeft { id: open.id });
         }
     }
 
@@ -259,9 +273,9 @@
         let (number, params, body) = match heard {
             Heard::Request { number, params, body } => (number, params, body),
             Heard::Withdrawn { number } => {
-                if let Some((_, id)) = c.calls.borrow_mut().remove(&number) {
-                    self.clients.ids.borrow_mut().remove(&id);
-                    self.tell(Input::CallerLeft { id });
+                if let Some(open) = c.calls.borrow_mut().remove(&number) {
+                    self.clients.forget(&open);
+                    self.tell(Input::CallerLeft { id: open.id });
                 }
                 return;
             }
@@ -284,7 +298,9 @@
         }
         let serial = self.clients.next.replace(self.clients.next.get() + 1);
         self.clients.ids.borrow_mut().insert(id.clone());
-        c.calls.borrow_mut().insert(number, (serial, id.clone()));
+        let bytes = body.len();
+        self.clients.bodies.set(self.clients.bodies.get() + bytes);
+        c.calls.borrow_mut().insert(number, Open { serial, id: id.clone(), bytes });
         let key: FunctionId = f.key.as_str().into();
         let request = Request {
             id: id.clone(),
--- a/crates/badgerwind-gateway/src/platform/executors.rs
+++ b/crates/badgerwind-gateway/src/platform/executors.rs
@@ -211,6 +211,11 @@
         for c in self.dirty.take() {
             c.dirty.set(false);
             shell.push_out(&c);
+            // Its task waits for the rest to go out.
+            let wire = c.wire.borrow();
+            if let Some(wire) = wire.as_ref().filter(|_| !c.link.borrow().out().is_empty()) {
+                wire.wake();
+            }
         }
     }
 
@@ -302,9 +307,6 @@
             }
             Err(_) => true,
         };
-        if !link.out().is_empty() {
-            wire.wake();
-        }
         drop(link);
         for end in ends {
             match end {
--- a/crates/badgerwind-gateway/src/platform/mod.rs
+++ b/crates/badgerwind-gateway/src/platform/mod.rs
@@ -104,6 +104,7 @@
     let address = options.listen.unwrap_or(config.listen);
     let listener = Async::<TcpListener>::bind(address);
     let listener = Rc::new(listener.map_err(|error| PlatformError::Listen { address, error })?);
+    let address = listener.get_ref().local_addr().map_err(PlatformError::Start)?;
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(PlatformError::Start)?;
     let (control, controls) = async_channel::bounded(4);
     let engine = Engine {
--- /dev/null
+++ b/crates/badgerwind-platform/tests/links.rs
@@ -0,0 +1,227 @@
+//! A connection to an executor: what an attempt's end proves, and what a spoilt answer costs.
+
+use badgerwind::interface::{CopyMark, RequestId};
+use badgerwind_driver::{CallOff, OrderId};
+use badgerwind_platform::line;
+use badgerwind_platform::link::{End, Link, Off, Spoilt, Task};
+use proptest::prelude::*;
+
+type L = Link<()>;
+
+fn attempt(id: &str) -> Task<()> {
+    Task::Attempt { id: id.into(), attempt: 0, content: (), limit: 9 }
+}
+
+fn write(task: &Task<()>, out: &mut Vec<u8>) -> bool {
+    match task {
+        Task::Attempt { id, .. } => {
+            line::call(out, &line::Call { id, kind: "k", obj: "f", ms: 9, body: b"hi" });
+        }
+        Task::Order { copies, .. } => line::load(out, "load-3", "f", *copies),
+        Task::Probe(_) => line::probe(out, "probe-1"),
+        Task::Unload(key) => line::unload(out, key),
+    }
+    true
+}
+
+/// A link on which these attempts are out whole.
+fn out(ids: &[&str]) -> L {
+    let (mut l, mut ends) = (L::new(0), Vec::new());
+    ids.iter().for_each(|id| l.push(0, attempt(id)));
+    l.begin(write, &mut ends);
+    l.sent(l.out().len(), &mut ends);
+    assert!(ends.is_empty() && l.busy() == ids.len());
+    l
+}
+
+/// The ends in words.
+fn words(ends: Vec<End<()>>) -> Vec<String> {
+    let word = |e| match e {
+        End::Attempt(id, n, end) => format!("{id}/{n} {:?}", end.outcome),
+        End::Order(OrderId(n), outcome, copies) => format!("order {n} {outcome:?} {copies}"),
+        End::Probe(outcome) => format!("probe {outcome:?}"),
+        End::Unsent(Task::Attempt { id, .. }) => format!("{id} unsent"),
+        End::Unsent(_) => "unsent".into(),
+    };
+    ends.into_iter().map(word).collect()
+}
+
+fn feed(l: &mut L, text: &str) -> (Vec<String>, bool) {
+    let mut ends = Vec::new();
+    let fed = l.feed(1, text.as_bytes(), &mut ends);
+    (words(ends), fed.is_ok())
+}
+
+fn broken(mut l: L, spoilt: bool) -> Vec<String> {
+    let mut ends = Vec::new();
+    l.broken(spoilt, &mut ends);
+    assert_eq!(l.busy(), 0);
+    words(ends)
+}
+
+fn hit(id: &str) -> String {
+    format!("{{\"type\":\"HIT\",\"req\":\"{id}\",\"data\":\"aGk=\"}}\n")
+}
+
+#[test]
+fn only_what_is_out_to_its_last_byte_may_have_run() {
+    for short in [0usize, 1, 1000] {
+        let mut l = L::new(0);
+        let mut ends = Vec::new();
+        l.push(0, attempt("a"));
+        l.begin(write, &mut ends);
+        let whole = l.out().len();
+        l.sent(whole.saturating_sub(short), &mut ends);
+        let want = if short == 0 { "a/0 Reset" } else { "a unsent" };
+        assert_eq!(broken(l, false), [want], "{short} bytes short");
+    }
+    let mut l = L::new(0);
+    l.push(0, attempt("queued"));
+    assert_eq!(broken(l, false), ["queued unsent"]);
+}
+
+#[test]
+fn what_may_not_go_out_any_more_is_told_apart_at_its_first_byte() {
+    let (mut l, mut ends) = (L::new(0), Vec::new());
+    l.push(0, attempt("late"));
+    l.push(0, Task::Probe(1));
+    l.begin(|t, out| matches!(t, Task::Probe(_)) && write(t, out), &mut ends);
+    assert_eq!(words(ends), ["late unsent"]);
+    assert!(l.out().starts_with(b"{\"type\":\"HELO\""));
+}
+
+#[test]
+fn each_word_ends_what_it_answers() {
+    for (word, outcome) in
+        [("HIT", "Ok"), ("NONE", "Miss"), ("SHED", "Full"), ("FAULT", "Error"), ("LATE", "Moot")]
+    {
+        let mut l = out(&["a", "b"]);
+        assert_eq!(
+            feed(&mut l, &format!("{{\"type\":\"{word}\",\"req\":\"a\"}}\n")).0,
+            [format!("a/0 {outcome}")]
+        );
+        assert!(l.busy() == 1 && l.takes("c") && !l.takes("b"));
+    }
+    let (mut l, mut ends) = (L::new(0), Vec::new());
+    l.push(0, Task::Order { order: OrderId(3), key: "f".into(), copies: 2 });
+    l.push(0, Task::Probe(1));
+    assert!(l.only_orders());
+    l.begin(write, &mut ends);
+    l.sent(l.out().len(), &mut ends);
+    let text = "{\"type\":\"SHED\",\"req\":\"load-3\",\"meta\":{\"slots_up\":\"1\"}}\n{\"type\":\"PONG\",\"req\":\"probe-1\"}\n";
+    assert_eq!(feed(&mut l, text).0, ["order 3 Full 1", "probe Ok"]);
+}
+
+#[test]
+fn notes_and_company_are_read_and_may_be_strings_or_numbers() {
+    for company in ["3", "\"3\""] {
+        let text = format!("{{\"type\":\"HIT\",\"req\":\"a\",\"meta\":{{\"res\":\"j\",\"company\":{company}}},\"data\":\"aGk=\"}}");
+        let said = line::read(text.as_bytes()).unwrap();
+        assert_eq!((said.mark, said.crowd, &said.body[..]), (CopyMark::WaitedForLoad, 3, &b"hi"[..]));
+    }
+    assert!(line::read(b"{\"type\":\"HIT\",\"req\":\"a\",\"data\":\"?\"}").is_err());
+    assert!(line::read(b"{\"type\":\"WHAT\",\"req\":\"a\"}").is_err());
+}
+
+/// The answer to an attempt that was given up must not count for the next one of the same id.
+#[test]
+fn a_late_answer_is_nobodys_and_its_connection_is_no_way_for_the_same_id() {
+    let mut l = out(&["a"]);
+    let mut ends = Vec::new();
+    assert_eq!(l.off(&"a".into(), 0, CallOff::TimedOut, &mut ends), Off::Done);
+    assert!(ends.is_empty(), "over only once its KILL is out");
+    assert!(l.kills() && l.out() == b"{\"type\":\"KILL\",\"req\":\"a\"}\n");
+    l.sent(l.out().len(), &mut ends);
+    assert_eq!(words(ends), ["a/0 Timeout"]);
+    assert!(!l.takes("a") && l.takes("b"));
+    assert_eq!(feed(&mut l, &hit("a")), (vec![], true));
+    assert!(l.takes("a") && !l.spent(), "it has come: nothing more of it can");
+}
+
+#[test]
+fn one_cut_in_the_middle_of_its_line_can_only_be_kept_back_by_the_connections_end() {
+    let (mut l, mut ends) = (L::new(0), Vec::new());
+    l.push(0, attempt("a"));
+    l.begin(write, &mut ends);
+    l.sent(5, &mut ends);
+    assert_eq!(l.off(&"a".into(), 0, CallOff::Cancelled, &mut ends), Off::Cut);
+    assert_eq!(l.off(&"x".into(), 0, CallOff::Cancelled, &mut ends), Off::Unknown);
+    assert_eq!(broken(l, false), ["a unsent"]);
+}
+
+#[test]
+fn a_good_answer_beside_junk_counts_and_the_connection_takes_nothing_new() {
+    let mut l = out(&["a"]);
+    let (ends, good) = feed(&mut l, &format!("{}{}", hit("unknown"), hit("a")));
+    assert_eq!((ends, good), (vec!["a/0 Ok".to_owned()], true));
+    assert!(!l.takes("b") && l.spent());
+    let mut l = out(&["a"]);
+    assert_eq!(feed(&mut l, &format!("{}{}", hit("a"), hit("a"))).0, ["a/0 Ok"], "a second copy is nobody's");
+    assert!(l.spent());
+}
+
+#[test]
+fn a_spoilt_answer_is_the_one_attempts_error_or_everybodys_reset() {
+    for junk in [
+        "noise\n",
+        "{\"type\":\"HIT\",\"req\":\"a\",\"data\":\"%\"}\n",
+        "{\"type\":\"PONG\",\"req\":\"a\"}\n",
+    ] {
+        let mut l = out(&["a"]);
+        assert!(!feed(&mut l, junk).1, "{junk}");
+        assert_eq!(broken(l, true), ["a/0 Error"]);
+        let mut l = out(&["a", "b"]);
+        assert!(!feed(&mut l, junk).1);
+        assert_eq!(broken(l, true), ["a/0 Reset", "b/0 Reset"]);
+    }
+}
+
+#[test]
+fn a_line_without_end_is_given_up_at_its_bound() {
+    let (mut l, mut fed) = (out(&["a"]), 0);
+    let piece = "x".repeat(10_000);
+    let spoilt = loop {
+        match l.feed(1, piece.as_bytes(), &mut Vec::new()) {
+            Ok(()) => fed += piece.len(),
+            Err(e) => break e,
+        }
+    };
+    assert_eq!(spoilt, Spoilt::Endless);
+    assert!(fed <= line::MOST && l.held() <= line::MOST);
+}
+
+#[test]
+fn a_connection_that_gave_up_too_much_is_used_up() {
+    let ids: Vec<String> = (0..40).map(|n| format!("{n}")).collect();
+    let mut l = out(&ids.iter().map(String::as_str).collect::<Vec<_>>());
+    for id in &ids {
+        l.off(&RequestId::from(id.as_str()), 0, CallOff::Cancelled, &mut Vec::new());
+    }
+    assert!(l.spent());
+}
+
+proptest! {
+    /// Cut anywhere, the same ends come out; whatever one byte is turned into, each attempt ends once.
+    #[test]
+    fn any_split_and_any_mutation(cuts in proptest::collection::vec(1usize..20, 1..60), at in 0usize..200, to in any::<u8>()) {
+        let text: String = ["a", "b", "c"].map(hit).concat();
+        let (mut l, mut rest, mut all) = (out(&["a", "b", "c"]), &text[..], Vec::new());
+        for cut in cuts {
+            let (piece, after) = rest.split_at(cut.min(rest.len()));
+            all.extend(feed(&mut l, piece).0);
+            rest = after;
+        }
+        all.extend(feed(&mut l, rest).0);
+        prop_assert_eq!(all, ["a/0 Ok", "b/0 Ok", "c/0 Ok"]);
+
+        let mut bytes = text.into_bytes();
+        let at = at % bytes.len();
+        bytes[at] = to;
+        let (mut l, mut ends) = (out(&["a", "b", "c"]), Vec::new());
+        let spoilt = l.feed(1, &bytes, &mut ends).is_err();
+        l.broken(spoilt, &mut ends);
+        let mut ids: Vec<String> = words(ends).iter().map(|w| w[..1].to_owned()).collect();
+        ids.sort();
+        prop_assert_eq!(ids, ["a", "b", "c"]);
+    }
+}
--- a/crates/badgerwind-standins/src/lib.rs
+++ b/crates/badgerwind-standins/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod keys;
 pub mod list;
 pub mod model;
+pub mod platform;
 pub mod record;
 pub mod runner;
 pub mod senders;
--- /dev/null
+++ b/crates/badgerwind-standins/src/platform/board.rs
@@ -0,0 +1,127 @@
+//! A notice board that keeps its events and can fall silent, break off or repeat itself.
+
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream};
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+
+/// How the board treats its connections.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mood {
+    /// As it should.
+    Well,
+    /// Accepts, reads, and writes nothing more.
+    Silent,
+    /// Breaks off in the middle of the next event, once for each connection.
+    Breaks,
+    /// Writes each event twice.
+    Twice,
+}
+
+struct State {
+    events: Vec<Vec<u8>>,
+    first: u64,
+    mood: Mood,
+    asked: Vec<u64>,
+}
+
+/// A notice board.
+pub struct Board {
+    /// Where it listens.
+    pub address: SocketAddr,
+    state: Arc<Mutex<State>>,
+}
+
+/// The record of an executor.
+pub fn record(id: u32, address: SocketAddr, state: u8) -> Vec<u8> {
+    let SocketAddr::V4(address) = address else { return Vec::new() };
+    let address: SocketAddrV4 = address;
+    let mut r = id.to_be_bytes().to_vec();
+    r.extend(address.ip().octets());
+    r.extend(address.port().to_be_bytes());
+    r.extend([state, 0, 0, 0, 0]);
+    r.extend(4000u32.to_be_bytes());
+    r.extend(0u64.to_be_bytes());
+    r
+}
+
+fn frame(number: u64, kind: u8, payload: &[u8]) -> Vec<u8> {
+    let mut f = (payload.len() as u32 + 9).to_be_bytes().to_vec();
+    f.extend(number.to_be_bytes());
+    f.push(kind);
+    f.extend(payload);
+    f
+}
+
+impl Board {
+    /// Starts one whose next event has this number.
+    pub fn start(first: u64) -> io::Result<Board> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        let address = listener.local_addr()?;
+        let state = State { events: Vec::new(), first, mood: Mood::Well, asked: Vec::new() };
+        let state = Arc::new(Mutex::new(state));
+        let own = state.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let state = own.clone();
+                // A connection that ends, ends: the front end asks anew.
+                std::thread::spawn(move || _ = serve(stream, &state));
+            }
+        });
+        Ok(Board { address, state })
+    }
+
+    fn state(&self) -> std::sync::MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Tells of changes.
+    pub fn tell(&self, records: &[Vec<u8>]) {
+        self.state().events.push(records.concat());
+    }
+
+    /// Treats its connections so from now on.
+    pub fn mood(&self, mood: Mood) {
+        self.state().mood = mood;
+    }
+
+    /// The numbers with which it was asked.
+    pub fn asked(&self) -> Vec<u64> {
+        self.state().asked.clone()
+    }
+}
+
+fn serve(mut stream: TcpStream, state: &Mutex<State>) -> io::Result<()> {
+    let lock = || state.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut had = [0u8; 8];
+    stream.read_exact(&mut had)?;
+    let mut had = u64::from_be_bytes(had);
+    lock().asked.push(had);
+    let mut beat = Instant::now();
+    loop {
+        let (mood, next) = {
+            let s = lock();
+            let next = (had + 1).checked_sub(s.first).and_then(|n| s.events.get(n as usize).cloned());
+            (s.mood, next)
+        };
+        match (mood, next) {
+            (Mood::Silent, _) => {}
+            (mood, Some(payload)) => {
+                let f = frame(had + 1, 2, &payload);
+                if mood == Mood::Breaks {
+                    lock().mood = Mood::Well;
+                    stream.write_all(&f[..f.len() / 2])?;
+                    return Ok(());
+                }
+                (0..if mood == Mood::Twice { 2 } else { 1 }).try_for_each(|_| stream.write_all(&f))?;
+                had += 1;
+            }
+            (_, None) if beat.elapsed() > Duration::from_secs(1) => {
+                stream.write_all(&frame(had, 0, b""))?;
+                beat = Instant::now();
+            }
+            _ => {}
+        }
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
