Module: one broken connection no longer takes its worker out

At fault: choice.rs learn(), where one Reset weighed 2 and so tripped (0.36 > 0.30) and forgot the worker's copies. Change: Reset weighs 1; a second without a good answer between trips it, and only then copies are forgotten. A process that dies breaks all its connections and refuses the next one. Platform attempts are traced at debug.

--- a/crates/badgerwind-gateway/src/platform/shell.rs
+++ b/crates/badgerwind-gateway/src/platform/shell.rs
@@ -4,6 +4,7 @@
 use super::executors::Executors;
 use crate::clock::Clock;
 use crate::engine::{Backend, InputOf, OutputOf};
+use crate::metrics::word;
 use async_channel::Sender;
 use badgerwind::interface::*;
 use badgerwind_driver::Output;
@@ -150,23 +151,47 @@
         content.handed
     }
 
-    fn observe(&mut self, _: Time, _: &Input) {}
+    fn observe(&mut self, _: Time, input: &Input) {
+        if !tracing::enabled!(tracing::Level::DEBUG) {
+            return;
+        }
+        match input {
+            Input::Call(c) => {
+                let r = &c.request;
+                tracing::debug!(request = %r.id, class = r.class, function = %r.function, retry = r.retry, "taken");
+            }
+            Input::AttemptEnded { id, attempt, end } => {
+                let (outcome, mark, crowd) = (word(end.outcome), end.mark, end.crowd);
+                tracing::debug!(request = %id, attempt, outcome, ?mark, crowd, "attempt ended");
+            }
+            Input::OrderEnded { order, outcome, copies } => {
+                tracing::debug!(order = order.0, outcome = word(*outcome), copies, "order ended");
+            }
+            _ => {}
+        }
+    }
 
     fn carry(&mut self, now: Time, output: OutputOf<Self>) {
         let shell = &self.0;
         match output {
-            Output::Final { origin, answer, .. } => shell.clients.answer(shell, &origin, &answer),
+            Output::Final { id, origin, answer, attempts, lag, .. } => {
+                let served = matches!(answer, badgerwind_driver::Final::Served(_));
+                tracing::debug!(request = %id, served, attempts, lag, "answered");
+                shell.clients.answer(shell, &origin, &answer);
+            }
             Output::Stream { origin, reply, .. } => {
                 // No class of the platform streams; an answer begun is an answer.
                 shell.clients.answer(shell, &origin, &badgerwind_driver::Final::Served(reply));
             }
             Output::Attempt { id, attempt, worker, content, limit } => {
+                tracing::debug!(request = %id, attempt, worker, function = %content.key, "attempt");
                 shell.executors.attempt(shell, now, worker, (id, attempt, content, limit));
             }
             Output::CallOff { id, attempt, worker, why } => {
                 shell.executors.call_off(shell, worker, &id, attempt, why);
             }
             Output::Order { order, worker, function, copies, .. } => {
+                tracing::debug!(order = order.0, worker, %function, copies, "order");
                 shell.executors.order(shell, now, worker, order, &function, copies);
             }
             Output::Drop { worker, function } => shell.executors.unload(shell, now, worker, &function),
--- a/crates/badgerwind/src/choice.rs
+++ b/crates/badgerwind/src/choice.rs
@@ -676,6 +676,8 @@
             Error if mark == CopyMark::LoadFailed => c.n = 0,
             Error => _ = w.whole.fail(1.0, now, pause),
             Timeout if waited as f64 > fun.load => _ = w.whole.fail(1.0, now, pause),
+            // One connection that broke may tell of itself alone; with the process all break, or the next is refused.
+            Reset if !w.whole.fail(1.0, now, pause) => {}
             ConnectFailed | Reset => {
                 w.whole.fail(2.0, now, pause);
                 self.m.forget_copies(worker, now);
