Module: what one cut-off order or one busy front end seems to say is no longer believed

A trace of orders showed 30 to 50 a second ending as reset: they shared one connection an executor, so one break ended all, and choice.rs on_loaded() took each for 'no copy stands' and a weight of 2 against the executor. A trace of refusals showed calls refused on arrival with no attempt: over_share() took the busy front end's own rate times 3 for the sum of all, though it had half of the calls, and retries by clients added to it. Three of six executors had a tenth of the calls long after a bad second: slowness is learned from answers only, and they got none. Change: orders have connections of their own like attempts; an order cut off says nothing of the copies; front ends tell each other their tenants' rates (4 bytes a tenant, where messages are allowed); slowness without news fades over half a keep-alive.

--- a/crates/badgerwind-gateway/src/platform/executors.rs
+++ b/crates/badgerwind-gateway/src/platform/executors.rs
@@ -124,8 +124,8 @@
         self.put(shell, now, worker, Task::Probe(number), false);
     }
 
-    /// Puts something on one of an executor's connections. An attempt has one of its own while descriptors last, since
-    /// one spoilt answer costs all that share it; orders share one. Where nothing was heard of the executor
+    /// Puts something on one of an executor's connections. Each has one of its own while descriptors last, since one
+    /// spoilt answer or reset costs all that share it. Where nothing was heard of the executor
     /// lately, a new connection shows first that it is there: on an old one silence would prove nothing.
     fn put(&self, shell: &Rc<Shell>, now: Time, worker: WorkerId, task: Task<Out>, anew: bool) {
         let mut all = self.all.borrow_mut();
@@ -140,15 +140,9 @@
         let sign_of_life = 2 * shell.transport.connect_timeout;
         let fresh = !anew && now <= e.heard + sign_of_life;
         let usable = |c: &&Rc<Connection>| !c.closing.get() && c.link.borrow().takes(&id);
-        let of_orders = |c: &&Rc<Connection>| c.link.borrow().only_orders();
         let idle = |c: &&Rc<Connection>| c.link.borrow().busy() == 0 && c.wire.borrow().is_some();
-        let attempt = matches!(task, Task::Attempt { .. });
         let pick = e.links.iter().filter(usable).filter(|_| fresh);
-        let own = match attempt {
-            true => pick.filter(idle).max_by_key(|c| c.link.borrow().used),
-            false => pick.filter(of_orders).max_by_key(|c| c.link.borrow().busy()),
-        };
-        let mut own = own.cloned();
+        let mut own = pick.filter(idle).max_by_key(|c| c.link.borrow().used).cloned();
         if own.is_none() {
             drop(all);
             let room = self.open.get() < shell.shares.executors || self.evict(worker);
@@ -405,7 +399,9 @@
             Timer::after(Duration::from_micros(self.transport.connect_timeout)).await;
             Err(std::io::ErrorKind::TimedOut.into())
         };
+        let began = self.clock.now();
         let Ok(stream) = Async::<TcpStream>::connect(address).or(late).await else { return };
+        tracing::debug!(worker = c.worker, took = self.clock.now() - began, "connected");
         if c.closing.get() {
             return;
         }
--- a/crates/badgerwind/src/choice.rs
+++ b/crates/badgerwind/src/choice.rs
@@ -54,6 +54,9 @@
 const RETRY_SHARE: f64 = 0.2; // Retry budget: further tries, by us or by clients, for each first one...
 const MOST_RETRIES: f64 = 10.0; // ...and the most that may be saved up.
 const FLOOD_SPAN: f64 = 0.25; // Span over which a tenant's rate is judged, as a share of the keep-alive.
+const SLOW_SPAN: f64 = 0.5; // Slowness without news fades over this share of the keep-alive.
+const TOLD: u64 = 3; // Front ends' word of their rates counts for so many of its intervals.
+const MOST_TOLD: usize = 64; // Tenants in a message of 256 bytes.
 const COLD_SHARE: f64 = 0.4; // Share of a cold worker's budget that all front ends together plan to use.
 const LOAD_CAPACITY: f64 = 0.5; // Share of its capacity from which a warming worker is given loads.
 
@@ -212,7 +215,8 @@
             Event::Loaded { worker, function, outcome, copies, lag } => {
                 self.on_loaded(worker, &function, (outcome, copies, lag), out)
             }
-            Event::Alarm { .. } | Event::Probed { .. } | Event::Message { .. } => {}
+            Event::Message { from, bytes } => self.on_message(from, &bytes),
+            Event::Alarm { .. } | Event::Probed { .. } => {}
         }
     }
 
@@ -332,9 +336,47 @@
 
     fn over_share(&self, open: &Open) -> bool {
         let quota = self.set.tenants.get(open.tenant).and_then(|t| t.quota_per_s);
-        let rate =
-            |r: &Decay| r.get(self.now, self.keep() * FLOOD_SPAN) * f64::from(self.set.front_ends.max(1));
-        self.m.tenant_rate.get(open.tenant).is_some_and(|r| quota.is_some_and(|q| rate(r) > q))
+        let rate = |q: f64| self.own_rate(open.tenant).is_some_and(|own| self.all_rate(open.tenant, own) > q);
+        quota.is_some_and(rate)
+    }
+
+    /// Requests a second of a tenant here.
+    fn own_rate(&self, tenant: usize) -> Option<f64> {
+        self.m.tenant_rate.get(tenant).map(|r| r.get(self.now, self.keep() * FLOOD_SPAN))
+    }
+
+    /// The same at all front ends: as told lately, and where not, as here. Guards against unequal front ends:
+    /// the busy ones took their own part times the number of all for the sum.
+    fn all_rate(&self, tenant: usize, own: f64) -> f64 {
+        let from = self.now.saturating_sub(TOLD * self.tell_span());
+        let told = self.m.told.values().filter(|(at, _)| *at >= from).filter_map(|(_, r)| r.get(tenant));
+        let (sum, n) = told.fold((own, 1.0), |(sum, n), r| (sum + r, n + 1.0));
+        sum * f64::from(self.set.front_ends.max(1)) / n
+    }
+
+    /// Front ends tell each other their tenants' rates this often; the more of them, the seldomer.
+    fn tell_span(&self) -> Span {
+        let many = f64::from(self.set.front_ends / MANY + 1);
+        (self.keep() * FLOOD_SPAN / 2.0 * many) as Span
+    }
+
+    fn tell(&mut self, out: &mut Vec<Action>) {
+        if !self.set.may_message || self.set.tenants.is_empty() || self.now < self.m.tell_at {
+            return;
+        }
+        self.m.tell_at = self.now + self.tell_span();
+        let rates = (0..self.set.tenants.len().min(MOST_TOLD)).map(|t| self.own_rate(t).unwrap_or(0.0));
+        let bytes = rates.flat_map(|r| (r as f32).to_be_bytes()).collect();
+        out.push(Action::Tell { to: None, bytes });
+    }
+
+    fn on_message(&mut self, from: u32, bytes: &[u8]) {
+        let rates = bytes.chunks_exact(4).map(|b| f64::from(f32::from_be_bytes([b[0], b[1], b[2], b[3]])));
+        let rates: Vec<f64> =
+            rates.take(MOST_TOLD).map(|r| if r.is_finite() { r.max(0.0) } else { 0.0 }).collect();
+        if from < self.set.front_ends && from != self.set.my_number {
+            self.m.told.insert(from, (self.now, rates));
+        }
     }
 
     // ---- The choice of a worker. ----
@@ -676,7 +718,7 @@
             Error if mark == CopyMark::LoadFailed => c.n = 0,
             Error => _ = w.whole.fail(1.0, now, pause),
             Timeout if waited as f64 > fun.load => _ = w.whole.fail(1.0, now, pause),
-            // One connection that broke may tell of itself alone; with the process all break, or the next is refused.
+            // One broken connection tells of itself; with the process all break, or the next is refused.
             Reset if !w.whole.fail(1.0, now, pause) => {}
             ConnectFailed | Reset => {
                 w.whole.fail(2.0, now, pause);
@@ -739,7 +781,10 @@
         let Some((w, c)) = self.m.workers.get_mut(&worker).zip(fun.copies.get_mut(&worker)) else { return };
         let Some(_) = c.take_order(now.saturating_sub(lag)) else { return };
         w.loads = w.loads.saturating_sub(1);
-        (c.n, c.known) = (n, now);
+        // Cut off on its way or after, it may stand all the same: then nothing new is known of the copies.
+        if !matches!(outcome, Outcome::Reset | Outcome::Timeout) {
+            (c.n, c.known) = (n, now);
+        }
         match outcome {
             Outcome::Ok => {
                 (c.used, w.whole.heard) = (now, now);
@@ -748,6 +793,7 @@
                 }
             }
             Outcome::Full | Outcome::Error => w.no_load_until = now + fun.load as Span,
+            Outcome::Reset => _ = w.whole.fail(1.0, now, self.sweep * BACKOFF),
             _ => _ = w.whole.fail(2.0, now, self.sweep * BACKOFF), // a worker taken out gets no loads
         }
         self.dispatch(f, out);
@@ -765,6 +811,10 @@
             self.m.asked_at = now;
             out.push(Action::Subscribe { on: true });
         }
+        self.tell(out);
+        // What answers took fades: one found slow in a bad moment gets hardly an answer to prove otherwise.
+        let fade = (-(self.sweep as f64) / (self.keep() * SLOW_SPAN)).exp();
+        self.m.workers.values_mut().for_each(|w| w.slow = 1.0 + (w.slow - 1.0) * fade);
         self.find_silent(out);
         for f in 0..self.m.functions.len() {
             if !self.m.functions[f].held.is_empty() {
--- a/crates/badgerwind/src/state.rs
+++ b/crates/badgerwind/src/state.rs
@@ -274,6 +274,9 @@
     pub orders: Recent,
     pub rate: Decay,
     pub tenant_rate: Vec<Decay>,
+    /// The same as other front ends told it, and when; and when to tell next.
+    pub told: BTreeMap<u32, (Time, Vec<f64>)>,
+    pub tell_at: Time,
     pub class_mean: Vec<f64>,
     /// Beliefs older than this are not trusted.
     pub trust_from: Time,
--- /dev/null
+++ b/crates/badgerwind/tests/sockets.rs
@@ -0,0 +1,154 @@
+//! Failures met on real sockets: connections that break by themselves, front ends that are not alike.
+
+mod common;
+
+use badgerwind::interface::*;
+use common::*;
+
+/// A router that believes that one worker holds `f`.
+fn warmed() -> (Bench, WorkerId) {
+    let mut set = settings(Effect::Repeatable);
+    (set.when_absent, set.load_window) = (WhenAbsent::Load, 0);
+    let mut b = Bench::new(set, 4);
+    b.ask("warm", "f", 3000 * MS);
+    b.now += 100 * MS;
+    b.answer("warm", 0, Outcome::Ok, CopyMark::Warm);
+    let w = b.sends("warm")[0];
+    (b, w)
+}
+
+/// 6% of connections broke while their executors served on: each break took an executor out, its copies forgotten, and
+/// four calls in ten were refused.
+#[test]
+fn one_broken_connection_does_not_take_a_worker_out_but_a_second_does() {
+    let (mut b, w) = warmed();
+    b.ask("a", "f", 3000 * MS);
+    b.now += 10 * MS;
+    b.answer("a", 0, Outcome::Reset, CopyMark::Untold);
+    b.pass(200 * MS);
+    if b.tried["a"].len() > 1 {
+        b.answer("a", 1, Outcome::Ok, CopyMark::Warm);
+    }
+    b.ask("b", "f", 3000 * MS);
+    assert_eq!(b.sends("b"), [w], "its copy is still counted on");
+    b.now += 10 * MS;
+    b.answer("b", 0, Outcome::Reset, CopyMark::Untold);
+    b.pass(20 * MS);
+    b.ask("c", "f", 3000 * MS);
+    assert_ne!(b.sends("c"), [w], "two in a row and nothing good between");
+}
+
+/// The connection of an order broke, and with it the belief in copies that stood.
+#[test]
+fn an_order_cut_off_says_nothing_of_the_copies() {
+    for (outcome, trusted) in [(Outcome::Reset, true), (Outcome::ConnectFailed, false)] {
+        let (mut b, w) = warmed();
+        // Renewal asks for what stands before it ages.
+        (0..30).for_each(|n| {
+            b.ask(&format!("{n}"), "f", 3000 * MS);
+            b.now += 100 * MS;
+            b.answer(&format!("{n}"), 0, Outcome::Ok, CopyMark::Warm);
+            b.pass(100 * MS);
+        });
+        b.pass(9_800 * MS);
+        let order = b.loads.len().checked_sub(1).expect("it is renewed");
+        assert_eq!(b.loads[order].1, w);
+        b.now += 5 * MS;
+        b.loaded(order, outcome, 0);
+        b.ask("after", "f", 3000 * MS);
+        assert_eq!(b.sends("after") == [w], trusted, "{outcome:?}");
+    }
+}
+
+/// One front end of three had half of the calls: it took three times its own part for the sum, and turned a tenant
+/// away that was within its share.
+#[test]
+fn a_tenants_rate_is_the_sum_of_what_front_ends_tell() {
+    for (others, refused) in [(None, true), (Some(1.0), false), (Some(30.0), true)] {
+        let mut set = settings(Effect::Repeatable);
+        (set.front_ends, set.may_message) = (3, true);
+        set.tenants = vec![Tenant { quota_per_s: Some(30.0) }];
+        let mut b = Bench::new(set, 0); // nobody to send to: what is over its share yields at once
+        b.pass(500 * MS);
+        for from in [1, 2] {
+            if let Some(rate) = others {
+                let bytes = (rate as f32).to_be_bytes().to_vec();
+                b.event(Event::Message { from, bytes });
+            }
+        }
+        for n in 0..200 {
+            b.ask(&format!("{n}"), "f", 3000 * MS);
+            b.pass(50 * MS);
+            if n % 20 == 0 {
+                for from in [1, 2] {
+                    if let Some(rate) = others {
+                        b.event(Event::Message { from, bytes: (rate as f32).to_be_bytes().to_vec() });
+                    }
+                }
+            }
+        }
+        let early =
+            |a: &&Action| matches!(a, Action::Refuse { id, .. } if b.over[id] + 2500 * MS < b.due[id]);
+        assert_eq!(b.acts.iter().filter(early).count() > 50, refused, "{others:?}");
+        let told = b.acts.iter().filter_map(|a| match a {
+            Action::Tell { to: None, bytes } => Some(bytes.len()),
+            _ => None,
+        });
+        assert!(told.clone().count() > 3 && told.clone().all(|n| n == 4), "it tells its own, in few bytes");
+    }
+}
+
+#[test]
+fn messages_that_cannot_be_are_passed_over() {
+    let mut set = settings(Effect::Repeatable);
+    (set.front_ends, set.may_message) = (3, true);
+    set.tenants = vec![Tenant { quota_per_s: Some(30.0) }; 2];
+    let mut b = Bench::new(set, 2);
+    for bytes in [vec![], vec![1, 2, 3], vec![0xff; 256], f32::NAN.to_be_bytes().to_vec()] {
+        for from in [0, 1, 7, u32::MAX] {
+            assert!(b.event(Event::Message { from, bytes: bytes.clone() }).is_empty());
+        }
+    }
+    b.ask("a", "f", 3000 * MS);
+    assert_eq!(b.sends("a").len(), 1);
+}
+
+/// A worker that was slow for a second got hardly a call afterwards, since only answers could prove otherwise.
+#[test]
+fn slowness_without_news_fades() {
+    for (pause, chosen) in [(100, false), (40_000, true)] {
+        let mut set = settings(Effect::Repeatable);
+        (set.when_absent, set.load_window, set.front_ends) = (WhenAbsent::Load, 0, 1);
+        (set.keep_alive, set.idle_price) = (60_000 * MS, 0.0);
+        let mut b = Bench::new(set, 2);
+        // Both hold it: two at once on one, the third goes to the other.
+        let ids = ["1", "2", "3", "4"];
+        ids.iter().for_each(|id| _ = b.ask(id, "f", 20_000 * MS));
+        b.pass(700 * MS);
+        ids.iter().for_each(|id| {
+            if b.tried.contains_key(*id) {
+                b.answer(id, 0, Outcome::Ok, CopyMark::Warm);
+            }
+        });
+        for order in 0..b.loads.len() {
+            b.loaded(order, Outcome::Ok, 1);
+        }
+        // Alike until one answer takes long.
+        for n in 0..4 {
+            let id = format!("{n} alike");
+            b.ask(&id, "f", 3000 * MS);
+            b.pass(700 * MS);
+            b.answer(&id, 0, Outcome::Ok, CopyMark::Warm);
+        }
+        b.ask("slow", "f", 20_000 * MS);
+        let slow = b.sends("slow")[0];
+        b.pass(3500 * MS);
+        b.answer("slow", 0, Outcome::Ok, CopyMark::Warm);
+        b.pass(pause * MS);
+        // The other one has a call in hand: one no slower than it is the better choice.
+        b.ask("before", "f", 3000 * MS);
+        assert_ne!(b.sends("before"), [slow]);
+        b.ask("after", "f", 3000 * MS);
+        assert_eq!(b.sends("after") == [slow], chosen, "after {pause} ms");
+    }
+}
