Module: what waited for half of its time untried is told; a worker's load counts all front ends

And the busiest executor had 1.7 to 2.3 times the mean, since own attempts alone hardly move the price of a worker that three front ends use. Change: a call without a try is turned away just before half of its time; attempts in hand count as often as there are front ends, up to eight. Both in choice.rs (dispatch(), busy()).

--- a/crates/badgerwind/src/choice.rs
+++ b/crates/badgerwind/src/choice.rs
@@ -310,7 +310,10 @@
         for id in held {
             let open = &self.m.open[&id];
             // Rule 1: the last sweep before the client gives up answers. Late and over-share traffic yields.
+            // Half of its time without a try: who waits for it should know, and may find another front end.
+            let half = open.attempts.is_empty() && 2 * (self.now + self.sweep) >= open.since + open.due;
             let yields = pressed && (self.late(open) || self.over_share(open)) && self.may_refuse(open);
+            let yields = yields || half;
             let one_out = || self.m.functions[f].copies.values().any(|c| c.out > 0);
             let over = self.too_late(open) || self.doubtful(f) && one_out();
             let choice = if over { None } else { Some(self.choose(f, open, waiting.len())) };
@@ -483,9 +486,10 @@
         open.attempts.last().map_or(open.retry, |a| !a.free)
     }
 
-    /// How busy a worker looks from here: slowness, own attempts and loads in hand by size.
+    /// How busy a worker looks: slowness, attempts and loads in hand by size.
     fn busy(&self, w: &Worker) -> f64 {
-        w.slow * (1.0 + f64::from(w.out + w.loads) / (BUSY_LANES * w.size))
+        let alike = self.set.front_ends.clamp(1, MANY); // the others send there as well, as far as one can tell
+        w.slow * (1.0 + f64::from((w.out + w.loads) * alike) / (BUSY_LANES * w.size))
     }
 
     /// Expected service time: the function's, else its class's, else a part of the aim.
