--- a/crates/badgerwind/src/choice.rs
+++ b/crates/badgerwind/src/choice.rs
@@ -488,7 +488,7 @@
 
     /// How busy a worker looks: slowness, attempts and loads in hand by size.
     fn busy(&self, w: &Worker) -> f64 {
-        let alike = self.set.front_ends.clamp(1, MANY); // the others send there as well, as far as one can tell
+        let alike = self.set.front_ends.clamp(1, MANY); // the others send there as well
         w.slow * (1.0 + f64::from((w.out + w.loads) * alike) / (BUSY_LANES * w.size))
     }
 
