--- a/crates/badgerwind-cli/tests/platform/main.rs
+++ b/crates/badgerwind-cli/tests/platform/main.rs
@@ -3,4 +3,5 @@
 mod executors;
 mod hostile;
 mod life;
+mod peers;
 mod rig;
--- /dev/null
+++ b/crates/badgerwind-cli/tests/platform/peers.rs
@@ -0,0 +1,38 @@
+//! Datagrams between front ends.
+
+use crate::rig::*;
+use badgerwind_standins::platform::executor::well;
+use badgerwind_standins::platform::web::Ask;
+use serde_json::json;
+use std::net::UdpSocket;
+use std::time::Duration;
+
+/// It tells all in few bytes from its own address, and what comes from strangers or is too long harms nothing.
+#[test]
+fn front_ends_are_told_in_short_datagrams_and_strangers_are_passed_over() {
+    let all = UdpSocket::bind("127.0.0.1:0").unwrap();
+    all.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
+    let peer = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let stranger = UdpSocket::bind("127.0.0.1:0").unwrap();
+    // A port that was free a moment ago; the front end binds it next.
+    let own = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let mut rig = Rig::with(vec![Box::new(well)], |c| {
+        c["settings"]["allowed"]["peers"] = json!(true);
+        c["settings"]["peersTotal"] = json!(2);
+        c["peer_listen"] = json!(own);
+        c["peers"] = json!([own, peer.local_addr().unwrap()]);
+        c["peers_all"] = json!(all.local_addr().unwrap());
+    });
+    for bytes in [&[0u8; 1][..], &[0xff; 256], &[7; 1400], &[]] {
+        for from in [&peer, &stranger] {
+            from.send_to(bytes, own).unwrap();
+        }
+    }
+    assert_eq!(rig.call(&Ask::new(1)).status, 200);
+    let mut buf = [0u8; 2048];
+    for _ in 0..2 {
+        let (n, from) = all.recv_from(&mut buf).expect("it tells its tenants' rates");
+        assert_eq!((n, from), (4, own));
+    }
+    assert!(rig.runs());
+}
