Platform front: the listen queue holds 1,024 connections

A connection turned away there comes back a second later. Change: listen again with 1,024 after the bind (rustix, in the tree already). Test: 400 connections to a front end that stands still; with 128 they do not come up in time.

--- a/crates/badgerwind-cli/tests/platform/hostile.rs
+++ b/crates/badgerwind-cli/tests/platform/hostile.rs
@@ -6,6 +6,7 @@
 use badgerwind_standins::platform::until;
 use badgerwind_standins::platform::web::{Ask, Web};
 use serde_json::json;
+use std::net::TcpStream;
 use std::time::{Duration, Instant};
 
 /// An answer or a close is owed within this, and what the test itself takes.
@@ -151,3 +152,15 @@
     assert!(rig.memory() < before + 16 * 1024, "{} {before}", rig.memory());
     assert_eq!(rig.call(&Ask::new(1_000_000)).status, 200);
 }
+
+/// While the front end has no core, hundreds that connect take nobody's place in the queue: the 129th waited a second.
+#[test]
+fn hundreds_connect_at_once_while_the_front_end_stands_still() {
+    let rig = Rig::well();
+    rig.signal("-STOP");
+    let connect = || TcpStream::connect_timeout(&rig.address, Duration::from_millis(900));
+    let waiting: Vec<_> = (0..400).map(|_| connect()).collect();
+    rig.signal("-CONT");
+    assert!(waiting.iter().all(Result::is_ok));
+    assert_eq!(rig.call(&Ask::new(1)).status, 200);
+}
--- a/crates/badgerwind-gateway/src/platform/mod.rs
+++ b/crates/badgerwind-gateway/src/platform/mod.rs
@@ -29,6 +29,8 @@
 const LATE_ARRIVALS: Duration = Duration::from_millis(750);
 /// The longest deadline counts as this at the least.
 const LEAST_DEADLINE: Duration = Duration::from_secs(3);
+/// Connections that may wait to be accepted.
+const QUEUE: i32 = 1024;
 /// How often idle connections are looked at.
 const SWEEP: Duration = Duration::from_millis(250);
 
@@ -104,6 +106,9 @@
     let address = options.listen.unwrap_or(config.listen);
     let listener = Async::<TcpListener>::bind(address);
     let listener = Rc::new(listener.map_err(|error| PlatformError::Listen { address, error })?);
+    // The library's queue of 128 overflows while hundreds connect and the core is another's; a connection turned away there
+    // comes back a second later.
+    rustix::net::listen(listener.get_ref(), QUEUE).map_err(|e| PlatformError::Start(e.into()))?;
     let address = listener.get_ref().local_addr().map_err(PlatformError::Start)?;
     let signals = Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(PlatformError::Start)?;
     let (control, controls) = async_channel::bounded(4);
