Platform front: standing connections are trusted until something went unanswered

Checked: each front end's log of attempts (4,632 `full`, no `connect_failed`), connections coming up (10,716, none failed), and what came over them: 4,316 of 4,638 `SHED` were the first words on a connection younger than 10 ms, which the executor then closed (4,324 of 4,571 closes by executors); 1,388 on others. So a full table lets a connection come up, turns its first call away and closes. Ruled out: unreachable executors (no connection failed to come up), resets (none), descriptors (232 of 512).

Wrong lines: `Executors::put` took an idle connection only where something was heard within 2 * connect_timeout, so that nearly every call of a front end with few calls opened another; and a connection that was turned away was tried again at once.

Change: package platform gains `reach` (no I/O): a standing connection is trusted until something handed over whole has had no word for 2 * connect_timeout; then one new connection at a time is the proof. A door found shut stays shut for a pause that doubles, drawn by half; calls share what stands, and where nothing stands the module is told `full`.

Two of the stories on the process fail without the change.

--- a/crates/badgerwind-gateway/src/platform/executors.rs
+++ b/crates/badgerwind-gateway/src/platform/executors.rs
@@ -7,6 +7,7 @@
 use badgerwind_platform::board::{Listed, News};
 use badgerwind_platform::line;
 use badgerwind_platform::link::{End, Link, Off, Task};
+use badgerwind_platform::reach::Reach;
 use futures_lite::FutureExt;
 use smol::{Async, Timer};
 use std::cell::{Cell, RefCell};
@@ -35,6 +36,18 @@
     link: RefCell<Link<Out>>,
     closing: Cell<bool>,
     dirty: Cell<bool>,
+    door: Cell<Door>,
+}
+
+/// How far a new connection has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Door {
+    /// Nothing was answered on it yet.
+    Unseen,
+    /// Calls were turned away on it, and nothing else came.
+    TurnedAway,
+    /// Something was answered otherwise.
+    Inside,
 }
 
 struct Executor {
@@ -42,8 +55,7 @@
     /// Since when nothing new may go there, and whether it is gone.
     leaving: Option<Time>,
     gone: bool,
-    /// Last sign of life over any connection.
-    heard: Time,
+    reach: Reach,
     links: Vec<Rc<Connection>>,
 }
 
@@ -58,7 +70,9 @@
 
 impl Executors {
     /// Takes in where executors are and whether they take work.
-    pub(super) fn listed(&self, now: Time, news: &News) {
+    pub(super) fn listed(&self, now: Time, news: &News, connect_timeout: Span) {
+        // A connection not made by then has failed; twice that without a word is no longer chance.
+        let patience = 2 * connect_timeout;
         let mut all = self.all.borrow_mut();
         if news.kind != ListKind::Changes {
             let named = |id: &WorkerId| news.entries.iter().any(|l| l.entry.worker == *id);
@@ -71,13 +85,13 @@
                 address: *address,
                 leaving: None,
                 gone: false,
-                heard: 0,
+                reach: Reach::new(patience),
                 links: Vec::new(),
             });
             if e.address != *address {
                 // Another machine: nothing new goes over what leads to the old one.
                 e.links.iter().for_each(|c| c.retire());
-                (e.address, e.heard) = (*address, 0);
+                (e.address, e.reach) = (*address, Reach::new(patience));
             }
             e.gone = entry.availability == Availability::Gone;
             e.leaving = match entry.availability {
@@ -126,7 +140,8 @@
 
     /// Puts something on one of an executor's connections. Each has one of its own while descriptors last, since one
     /// spoilt answer or reset costs all that share it. Where nothing was heard of the executor
-    /// lately, a new connection shows first that it is there: on an old one silence would prove nothing.
+    /// since something was handed over ([`Reach`]), a new connection shows first that it is there: on an old one silence
+    /// would prove nothing.
     fn put(&self, shell: &Rc<Shell>, now: Time, worker: WorkerId, task: Task<Out>, anew: bool) {
         let mut all = self.all.borrow_mut();
         let Some(e) = all.get_mut(&worker) else {
@@ -137,39 +152,44 @@
             Task::Attempt { id, .. } => id.clone(),
             _ => "".into(),
         };
-        let sign_of_life = 2 * shell.transport.connect_timeout;
-        let fresh = !anew && now <= e.heard + sign_of_life;
         let usable = |c: &&Rc<Connection>| !c.closing.get() && c.link.borrow().takes(&id);
         let idle = |c: &&Rc<Connection>| c.link.borrow().busy() == 0 && c.wire.borrow().is_some();
-        let pick = e.links.iter().filter(usable).filter(|_| fresh);
+        let trusted = !anew && e.reach.trusted(now);
+        let pick = e.links.iter().filter(usable).filter(|_| trusted);
         let mut own = pick.filter(idle).max_by_key(|c| c.link.borrow().used).cloned();
         if own.is_none() {
+            let opens = anew || e.reach.opens(now);
             drop(all);
-            let room = self.open.get() < shell.shares.executors || self.evict(worker);
+            let room = opens && (self.open.get() < shell.shares.executors || self.evict(worker));
             all = self.all.borrow_mut();
             let Some(e) = all.get_mut(&worker) else { return };
-            if room {
+            let fits = |c: &&Rc<Connection>| c.link.borrow().busy() < shell.transport.streams;
+            // One that is coming up proves as much as another would.
+            let coming = |c: &&Rc<Connection>| c.wire.borrow().is_none();
+            let shared = e.links.iter().filter(usable).filter(fits);
+            let proof = shared.clone().find(coming).filter(|_| !trusted);
+            if let Some(c) = proof {
+                own = Some(c.clone());
+            } else if room {
                 let c = Rc::new(Connection {
                     worker,
                     wire: RefCell::default(),
                     link: RefCell::new(Link::new(now)),
                     closing: Cell::default(),
                     dirty: Cell::default(),
+                    door: Cell::new(Door::Unseen),
                 });
                 e.links.push(c.clone());
                 self.open.set(self.open.get() + 1);
                 shell.tasks.spawn(shell.clone().drive(c.clone(), e.address)).detach();
                 own = Some(c);
             } else {
-                let fits = |c: &&Rc<Connection>| c.link.borrow().busy() < shell.transport.streams;
-                let usable = |c: &&Rc<Connection>| !c.closing.get() && c.link.borrow().takes(&id);
-                own = e
-                    .links
-                    .iter()
-                    .filter(usable)
-                    .filter(fits)
-                    .min_by_key(|c| c.link.borrow().busy())
-                    .cloned();
+                own = shared.min_by_key(|c| c.link.borrow().busy()).cloned();
+                if own.is_none() && !opens {
+                    // Nothing leads there and its table is full: it turns away unseen.
+                    drop(all);
+                    return shell.unsent(worker, task, Outcome::Full);
+                }
             }
         }
         drop(all);
@@ -194,6 +214,13 @@
         oldest.is_some()
     }
 
+    /// What is learned of the way to an executor.
+    fn reach(&self, worker: WorkerId, learn: impl FnOnce(&mut Reach)) {
+        if let Some(e) = self.all.borrow_mut().get_mut(&worker) {
+            learn(&mut e.reach);
+        }
+    }
+
     fn mark(&self, c: Rc<Connection>) {
         if !c.dirty.replace(true) {
             self.dirty.borrow_mut().push(c);
@@ -303,7 +330,11 @@
         link.begin(|task, out| self.line(now, barred, task, out), &mut ends);
         let failed = match wire.write(link.out()) {
             Ok(n) => {
+                let owed = link.owed();
                 link.sent(n, &mut ends);
+                if link.owed() > owed {
+                    self.executors.reach(c.worker, |r| r.asked(now));
+                }
                 // A call-off that cannot go out: only the end of the connection gives its attempt up now.
                 link.kills()
             }
@@ -387,9 +418,35 @@
         }
     }
 
+    /// What an answer says of the connection that it came over.
+    fn at_the_door(&self, c: &Connection, end: &End<Out>) {
+        let no = match end {
+            End::Attempt(_, _, end) => end.outcome == Outcome::Full,
+            End::Order(_, outcome, _) => *outcome == Outcome::Full,
+            _ => false,
+        };
+        match (c.door.get(), no) {
+            (Door::Unseen, true) => c.door.set(Door::TurnedAway),
+            (Door::Inside, _) | (_, true) => {}
+            _ => {
+                c.door.set(Door::Inside);
+                self.executors.reach(c.worker, Reach::taken_in);
+            }
+        }
+    }
+
     /// A connection's life.
     async fn drive(self: Rc<Self>, c: Rc<Connection>, address: SocketAddr) {
         self.connected(&c, address).await;
+        // Closed by the other side, and nothing but "no" came over it: it takes no more connections.
+        if c.door.get() == Door::TurnedAway && !c.closing.get() {
+            let now = self.clock.now();
+            tracing::debug!(
+                worker = c.worker,
+                "a new connection was turned away: the executor's table is full"
+            );
+            self.executors.reach(c.worker, |r| r.turned_away(now, fastrand::f64()));
+        }
         self.broken(&c, false);
         *c.wire.borrow_mut() = None;
         let mut all = self.executors.all.borrow_mut();
@@ -408,19 +465,20 @@
             Err(std::io::ErrorKind::TimedOut.into())
         };
         let began = self.clock.now();
-        let Ok(stream) = Async::<TcpStream>::connect(address).or(late).await else { return };
+        let stream = match Async::<TcpStream>::connect(address).or(late).await {
+            Ok(stream) => stream,
+            Err(e) => {
+                let took = self.clock.now() - began;
+                return tracing::debug!(worker = c.worker, took, "not connected: {e}");
+            }
+        };
         tracing::debug!(worker = c.worker, took = self.clock.now() - began, "connected");
         if c.closing.get() {
             return;
         }
         *c.wire.borrow_mut() = Some(Rc::new(Wire::new(stream)));
-        let heard = |now| {
-            c.link.borrow_mut().heard = now;
-            if let Some(e) = self.executors.all.borrow_mut().get_mut(&c.worker) {
-                e.heard = now;
-            }
-        };
-        heard(self.clock.now());
+        let heard = || self.executors.reach(c.worker, Reach::heard);
+        heard();
         self.push_out(c);
         let mut ends = Vec::new();
         while !c.closing.get() {
@@ -437,10 +495,13 @@
                     Ok(None) => break,
                 };
                 let now = self.clock.now();
-                heard(now);
+                heard();
                 let fed = c.link.borrow_mut().feed(now, &scratch[..n], &mut ends);
                 drop(scratch);
-                ends.drain(..).for_each(|end| self.end(c.worker, end));
+                for end in ends.drain(..) {
+                    self.at_the_door(c, &end);
+                    self.end(c.worker, end);
+                }
                 if fed.is_err() {
                     return self.broken(c, true);
                 }
--- a/crates/badgerwind-platform/src/link.rs
+++ b/crates/badgerwind-platform/src/link.rs
@@ -138,6 +138,11 @@
         self.queue.len() + self.begun.len() + self.open.len()
     }
 
+    /// What is out whole and owed an answer.
+    pub fn owed(&self) -> usize {
+        self.open.len()
+    }
+
     /// Whether it takes something new for this id: not where an answer to an earlier attempt may still come.
     pub fn takes(&self, id: &str) -> bool {
         let same = |o: &Open| &*o.name == id;
--- a/crates/badgerwind-platform/tests/links.rs
+++ b/crates/badgerwind-platform/tests/links.rs
@@ -4,6 +4,7 @@
 use badgerwind_driver::{CallOff, OrderId};
 use badgerwind_platform::line;
 use badgerwind_platform::link::{End, Link, Off, Spoilt, Task};
+use badgerwind_platform::reach::Reach;
 use proptest::prelude::*;
 
 type L = Link<()>;
@@ -224,3 +225,35 @@
         prop_assert_eq!(ids, ["a", "b", "c"]);
     }
 }
+
+#[test]
+fn a_standing_connection_is_trusted_until_something_went_without_a_word() {
+    let mut r = Reach::new(500);
+    assert!(r.trusted(0) && r.trusted(1_000_000), "silence where nothing was asked proves nothing");
+    r.asked(1000);
+    r.asked(1400); // the first counts
+    assert!(r.trusted(1500) && !r.trusted(1501));
+    r.heard();
+    assert!(r.trusted(1501));
+}
+
+#[test]
+fn a_full_table_is_tried_ever_more_seldom_and_at_once_after_it_took_a_call() {
+    let mut r = Reach::new(500);
+    let mut pauses = Vec::new();
+    let mut now = 0;
+    for _ in 0..6 {
+        assert!(r.opens(now));
+        r.turned_away(now, 1.0);
+        r.turned_away(now, 1.0); // one that knocked beside it
+        let from = now;
+        while !r.opens(now) {
+            now += 1;
+        }
+        pauses.push(now - from);
+    }
+    assert_eq!(pauses, [500, 1000, 2000, 4000, 4000, 4000]);
+    r.taken_in();
+    r.turned_away(now, 0.0);
+    assert!(!r.opens(now + 249) && r.opens(now + 250), "front ends do not come back in step");
+}
