--- a/crates/badgerwind-cli/tests/platform/main.rs
+++ b/crates/badgerwind-cli/tests/platform/main.rs
@@ -1,7 +1,9 @@
 //! The platform front as a program of its own, between scripted web servers, executors and a notice board.
 
 mod executors;
+mod fleet;
 mod hostile;
 mod life;
 mod peers;
 mod rig;
+mod terms;
--- a/crates/badgerwind-cli/tests/platform/rig.rs
+++ b/crates/badgerwind-cli/tests/platform/rig.rs
@@ -15,9 +15,8 @@
 /// What an executor does with a line.
 pub type Script = Box<dyn Fn(&Seen) -> Vec<Do> + Send + Sync>;
 
-pub struct Rig {
-    pub board: Board,
-    pub executors: Vec<Executor>,
+/// A front end's process.
+pub struct Front {
     pub address: SocketAddr,
     pub config: Value,
     child: Child,
@@ -25,6 +24,25 @@
     _folder: tempfile::TempDir,
 }
 
+pub struct Rig {
+    pub board: Board,
+    pub executors: Vec<Executor>,
+    front: Front,
+}
+
+impl std::ops::Deref for Rig {
+    type Target = Front;
+    fn deref(&self) -> &Front {
+        &self.front
+    }
+}
+
+impl std::ops::DerefMut for Rig {
+    fn deref_mut(&mut self) -> &mut Front {
+        &mut self.front
+    }
+}
+
 /// The id under which an executor of the rig is listed.
 pub fn id(n: usize) -> u32 {
     0xa000_0000 + n as u32
@@ -44,6 +62,18 @@
         let mut config =
             configuration("127.0.0.1:0".parse().unwrap(), board.address, &listed.collect::<Vec<_>>());
         change(&mut config);
+        Rig { board, executors, front: Front::start(config) }
+    }
+
+    /// One executor that does well.
+    pub fn well() -> Rig {
+        Rig::start(vec![Box::new(well)])
+    }
+}
+
+impl Front {
+    /// Starts one.
+    pub fn start(config: Value) -> Front {
         let folder = tempfile::tempdir().unwrap();
         let path = folder.path().join("config.json");
         std::fs::write(&path, config.to_string()).unwrap();
@@ -63,12 +93,18 @@
             }
         });
         let address = told.recv_timeout(Duration::from_secs(20)).expect("it says where it serves");
-        Rig { board, executors, address, config, child, path, _folder: folder }
+        Front { address, config, child, path, _folder: folder }
     }
 
-    /// One executor that does well.
-    pub fn well() -> Rig {
-        Rig::start(vec![Box::new(well)])
+    /// Its process.
+    pub fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Ends it as a machine's failure would.
+    pub fn kill(&mut self) {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
     }
 
     pub fn web(&self) -> Web {
@@ -126,7 +162,7 @@
     }
 }
 
-impl Drop for Rig {
+impl Drop for Front {
     fn drop(&mut self) {
         let _ = (self.child.kill(), self.child.wait()); // it may have ended
     }
--- /dev/null
+++ b/crates/badgerwind-cli/tests/platform/terms.rs
@@ -0,0 +1,87 @@
+//! The file by which the whole fleet's test builds and starts the program, and the terms of that test that can be seen from
+//! outside: one process, linked dynamically against the C library, no Unix sockets, no ring of system calls.
+
+use crate::rig::Rig;
+use badgerwind_standins::platform::web::Ask;
+use std::fs;
+
+fn deploy(name: &str) -> String {
+    let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/balancer.toml");
+    let text = fs::read_to_string(path).unwrap();
+    let line = text.lines().find_map(|l| l.strip_prefix(name)?.trim_start().strip_prefix('='));
+    line.unwrap_or_else(|| panic!("{name} is in deploy/balancer.toml")).trim().trim_matches('"').to_owned()
+}
+
+#[test]
+fn what_is_built_is_what_is_started_and_by_exec() {
+    let (build, run, sim) = (deploy("build"), deploy("run"), deploy("sim"));
+    assert_eq!(run, "exec target/release/badgerwind platform", "one process, in the shell's place");
+    assert_eq!(sim, "exec target/release/badgerwind-adapter");
+    for part in ["--release", "--locked", "-p badgerwind-adapter", "-p badgerwind-cli"] {
+        assert!(build.contains(part), "{build}");
+    }
+}
+
+/// The segments of an ELF file: kind, and where in the file.
+fn segments(elf: &[u8]) -> Vec<(u32, usize, usize)> {
+    assert_eq!((&elf[..4], elf[4], elf[5]), (&b"\x7fELF"[..], 2, 1), "64 bits, low byte first");
+    let number =
+        |at: usize, n: usize| elf[at..at + n].iter().rev().fold(0usize, |v, b| v << 8 | usize::from(*b));
+    let (at, size, count) = (number(32, 8), number(54, 2), number(56, 2));
+    let one =
+        |k| (number(at + k * size, 4) as u32, number(at + k * size + 8, 8), number(at + k * size + 32, 8));
+    (0..count).map(one).collect()
+}
+
+#[test]
+fn the_program_is_linked_dynamically_against_the_c_library() {
+    let elf = fs::read(env!("CARGO_BIN_EXE_badgerwind")).unwrap();
+    const INTERP: u32 = 3;
+    let (_, at, len) = segments(&elf).into_iter().find(|s| s.0 == INTERP).expect("it names its loader");
+    assert!(String::from_utf8_lossy(&elf[at..at + len]).contains("ld-linux"));
+    let rig = Rig::well();
+    assert_eq!(rig.health(), 200);
+    let maps = fs::read_to_string(format!("/proc/{}/maps", rig.pid())).unwrap();
+    assert!(maps.lines().any(|l| l.contains("/libc.so") || l.contains("/libc-")), "{maps}");
+}
+
+#[test]
+fn it_serves_in_one_process_that_nobody_reaches_over_a_unix_socket() {
+    let rig = Rig::well();
+    (0..20).for_each(|n| assert_eq!(rig.call(&Ask::new(n)).status, 200));
+    let proc = format!("/proc/{}", rig.pid());
+    let (mut threads, mut children) = (0, String::new());
+    for task in fs::read_dir(format!("{proc}/task")).unwrap().flatten() {
+        threads += 1;
+        // Not every kernel tells; what it tells has to be nothing.
+        children += &fs::read_to_string(task.path().join("children")).unwrap_or_default();
+    }
+    assert!(threads >= 1 && children.trim().is_empty(), "{threads} threads, children {children:?}");
+    // The same by everybody's parent, which every kernel tells.
+    let parent = |pid: &str| {
+        let stat = fs::read_to_string(format!("/proc/{pid}/stat")).ok()?;
+        stat.rsplit_once(')')?.1.split_whitespace().nth(1)?.parse::<u32>().ok()
+    };
+    let all =
+        fs::read_dir("/proc").unwrap().flatten().map(|e| e.file_name().into_string().unwrap_or_default());
+    let own: Vec<_> =
+        all.filter(|p| p.bytes().all(|b| b.is_ascii_digit()) && parent(p) == Some(rig.pid())).collect();
+    assert!(own.is_empty(), "processes that it started: {own:?}");
+    let unix = fs::read_to_string(format!("{proc}/net/unix")).unwrap();
+    // One with a name could be come to. The pair by which signals reach the event loop has none.
+    let named = |l: &'_ str| l.split_whitespace().nth(7).is_some();
+    let inodes: Vec<_> =
+        unix.lines().skip(1).filter(|l| named(l)).filter_map(|l| l.split_whitespace().nth(6)).collect();
+    let mut sockets = 0;
+    for fd in fs::read_dir(format!("{proc}/fd")).unwrap().flatten() {
+        let Ok(link) = fs::read_link(fd.path()) else { continue };
+        let link = link.to_string_lossy().into_owned();
+        assert!(!link.contains("io_uring"), "{link}");
+        if let Some(inode) = link.strip_prefix("socket:[").and_then(|l| l.strip_suffix(']')) {
+            sockets += 1;
+            let standard = ["0", "1", "2"].contains(&fd.file_name().to_str().unwrap_or(""));
+            assert!(standard || !inodes.contains(&inode), "a Unix socket with a name: {link}");
+        }
+    }
+    assert!(sockets >= 2, "it listens, and holds its executor's connection: {sockets}");
+}
--- a/crates/badgerwind-standins/src/platform/executor.rs
+++ b/crates/badgerwind-standins/src/platform/executor.rs
@@ -4,6 +4,7 @@
 use serde_json::Value;
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -57,10 +58,25 @@
 
 type Script = dyn Fn(&Seen) -> Vec<Do> + Send + Sync;
 
+/// Connections, as an executor counted them.
+#[derive(Debug, Default)]
+pub struct Doors {
+    /// That came up, ever.
+    pub opened: AtomicUsize,
+    /// That stand now.
+    pub standing: AtomicUsize,
+    /// That stood at once, at the most.
+    pub most: AtomicUsize,
+    /// Whose first word was turned away, the table being full.
+    pub turned_away: AtomicUsize,
+}
+
 /// An executor.
 pub struct Executor {
     /// Where it listens.
     pub address: SocketAddr,
+    /// Its connections.
+    pub doors: Arc<Doors>,
     seen: Arc<Mutex<Vec<Seen>>>,
 }
 
@@ -68,17 +84,38 @@
     /// Starts one on a free port. Each line that comes whole is given to the script, whose answer is carried out on a
     /// thread of its own, so that a waiting one holds up nobody.
     pub fn start(script: impl Fn(&Seen) -> Vec<Do> + Send + Sync + 'static) -> io::Result<Executor> {
+        Executor::with_table(usize::MAX, script)
+    }
+
+    /// The same with a table of so many connections. Where it is full a connection still comes up, but its first word is
+    /// answered with `SHED` and it is closed.
+    pub fn with_table(
+        table: usize,
+        script: impl Fn(&Seen) -> Vec<Do> + Send + Sync + 'static,
+    ) -> io::Result<Executor> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         let address = listener.local_addr()?;
         let (seen, script): (Arc<Mutex<Vec<Seen>>>, Arc<Script>) = (Arc::default(), Arc::new(script));
-        let all = seen.clone();
+        let (all, doors) = (seen.clone(), Arc::<Doors>::default());
+        let counts = doors.clone();
         std::thread::spawn(move || {
             for (connection, stream) in listener.incoming().flatten().enumerate() {
-                let (seen, script) = (all.clone(), script.clone());
-                std::thread::spawn(move || serve(connection, stream, &seen, &script));
+                let (seen, script, doors) = (all.clone(), script.clone(), counts.clone());
+                std::thread::spawn(move || {
+                    doors.opened.fetch_add(1, Ordering::Relaxed);
+                    let stand = doors.standing.fetch_add(1, Ordering::Relaxed) + 1;
+                    if stand > table {
+                        doors.turned_away.fetch_add(1, Ordering::Relaxed);
+                        turn_away(stream);
+                    } else {
+                        doors.most.fetch_max(stand, Ordering::Relaxed);
+                        serve(connection, stream, &seen, &script);
+                    }
+                    doors.standing.fetch_sub(1, Ordering::Relaxed);
+                });
             }
         });
-        Ok(Executor { address, seen })
+        Ok(Executor { address, doors, seen })
     }
 
     /// What has come.
@@ -92,6 +129,18 @@
     }
 }
 
+fn turn_away(mut stream: TcpStream) {
+    let Ok(read) = stream.try_clone() else { return };
+    let mut line = Vec::new();
+    if BufReader::new(read).read_until(b'\n', &mut line).is_ok_and(|n| n > 0) {
+        let req = serde_json::from_slice::<Value>(&line).ok();
+        let req = req.as_ref().and_then(|l| l["req"].as_str()).unwrap_or("");
+        // The front end may have given the connection up: that is its right.
+        let _ =
+            stream.write_all(format!("{{\"type\":\"SHED\",\"req\":\"{req}\",\"meta\":{{}}}}\n").as_bytes());
+    }
+}
+
 fn serve(connection: usize, stream: TcpStream, seen: &Mutex<Vec<Seen>>, script: &Arc<Script>) {
     // Only a delay is lost where these are not to be had.
     let _ = (stream.set_nodelay(true), stream.set_write_timeout(Some(LONG)));
