Module: calls leave homes that front ends together found loaded beyond the mean

Seen (calm+mass, 312 front ends, one play with logs): 10,004 of 67,777 calls not served; 8,833 of them went out once and timed out in a queue. 45% of the time-outs were at 12 of 120 executors, 73% at 30; the least used let 1 or 2 time out. Ruled out: refusals on arrival (285 calls), full tables (no connection turned away at the door), loads. Wrong: in learn, the arm for time-outs teaches nothing of how slow a worker is, and in choose a call goes to the only home believed warm however loaded; homes are the same for all front ends, and each hears an executor about once in twelve seconds.

Change: front ends keep the mean load of each worker together by push-sum, one word of at most 256 bytes to one other, sixteen times in a keep-alive, instead of rates told to all; a call whose best worker is loaded beyond the mean goes, by chance, to the first less loaded of eight further homes.

--- a/crates/badgerwind/src/choice.rs
+++ b/crates/badgerwind/src/choice.rs
@@ -57,8 +57,14 @@
 const SLOW_SPAN: f64 = 0.5; // Slowness without news fades over this share of the keep-alive.
 const DOUBT: u32 = 2; // Errors of a function that nothing ever served, from which it is doubtful.
 const UNUSED: u64 = 8; // Keep-alives without a call after which a function is forgotten.
-const TOLD: u64 = 3; // Front ends' word of their rates counts for so many of its intervals.
-const MOST_TOLD: usize = 64; // Tenants in a message of 256 bytes.
+const TOLD: f64 = 0.75; // Front ends' word of their rates counts for this share of the keep-alive.
+const TELLS: f64 = 16.0; // Words to another front end in a keep-alive.
+const MESSAGE: usize = 256; // Bytes in a message.
+const MOST_TOLD: usize = 60; // Tenants in one.
+const LOAD_SPAN: f64 = 0.3; // How loaded a worker was fades over this share of the keep-alive.
+const LITTLE: f64 = 0.1; // Mass of the guess that a worker is loaded as usual, in answers.
+const NEXT_HOMES: usize = 8; // Further homes that take calls of one loaded beyond the mean.
+const LOADED: f64 = 8.0; // What a full worker counts as, in usual service times.
 const COLD_SHARE: f64 = 0.4; // Share of a cold worker's budget that all front ends together plan to use.
 const LOAD_CAPACITY: f64 = 0.5; // Share of its capacity from which a warming worker is given loads.
 
@@ -193,7 +199,7 @@
         let mut m = Memory::default();
         m.tenant_rate.resize(settings.tenants.len(), Decay::default());
         m.class_mean.resize(settings.classes.len(), 0.0);
-        (m.tail, m.retries) = (OVERDUE, MOST_RETRIES);
+        (m.tail, m.retries, m.mean_load) = (OVERDUE, MOST_RETRIES, 1.0);
         Router { set: settings, rng: fastrand::Rng::with_seed(seed), m, now: 0, began: None, sweep }
     }
 
@@ -366,34 +372,52 @@
     /// The same at all front ends: as told lately, and where not, as here. Guards against unequal front ends:
     /// the busy ones took their own part times the number of all for the sum.
     fn all_rate(&self, tenant: usize, own: f64) -> f64 {
-        let from = self.now.saturating_sub(TOLD * self.tell_span());
+        let from = self.now.saturating_sub((self.keep() * TOLD) as Span);
         let told = self.m.told.values().filter(|(at, _)| *at >= from).filter_map(|(_, r)| r.get(tenant));
         let (sum, n) = told.fold((own, 1.0), |(sum, n), r| (sum + r, n + 1.0));
         sum * f64::from(self.set.front_ends.max(1)) / n
     }
 
-    /// Front ends tell each other their tenants' rates this often; the more of them, the seldomer.
+    /// A front end tells one other this often.
     fn tell_span(&self) -> Span {
-        let many = f64::from(self.set.front_ends / MANY + 1);
-        (self.keep() * FLOOD_SPAN / 2.0 * many) as Span
+        (self.keep() / TELLS) as Span
     }
 
+    /// Tells another front end, drawn anew, its tenants' rates and half of what it knows of workers' loads.
+    /// Guards against many front ends with few calls each: what one learns alone comes late.
     fn tell(&mut self, out: &mut Vec<Action>) {
-        if !self.set.may_message || self.set.tenants.is_empty() || self.now < self.m.tell_at {
+        let others = self.set.front_ends.saturating_sub(1);
+        if !self.set.may_message || others == 0 || self.now < self.m.tell_at {
             return;
         }
-        self.m.tell_at = self.now + self.tell_span();
-        let rates = (0..self.set.tenants.len().min(MOST_TOLD)).map(|t| self.own_rate(t).unwrap_or(0.0));
-        let bytes = rates.flat_map(|r| (r as f32).to_be_bytes()).collect();
-        out.push(Action::Tell { to: None, bytes });
+        let (now, span) = (self.now, self.keep() * LOAD_SPAN);
+        self.m.tell_at = now + self.tell_span();
+        let rates: Vec<f64> =
+            (0..self.set.tenants.len().min(MOST_TOLD)).map(|t| self.own_rate(t).unwrap_or(0.0)).collect();
+        let mut bytes = vec![rates.len() as u8];
+        bytes.extend(rates.iter().flat_map(|r| (*r as f32).to_be_bytes()));
+        let mut known: Vec<_> = self.m.workers.iter_mut().filter(|(_, w)| w.ready).collect();
+        known.sort_by(|a, b| b.1.load.mass(now, span).total_cmp(&a.1.load.mass(now, span)));
+        for (id, w) in known.into_iter().take((MESSAGE - bytes.len()) / 4) {
+            bytes.extend(short(*id).into_iter().chain(w.load.give(now, span)));
+        }
+        let to = (self.set.my_number + 1 + self.rng.u32(0..others)) % self.set.front_ends;
+        out.push(Action::Tell { to: Some(to), bytes });
     }
 
     fn on_message(&mut self, from: u32, bytes: &[u8]) {
-        let rates = bytes.chunks_exact(4).map(|b| f64::from(f32::from_be_bytes([b[0], b[1], b[2], b[3]])));
-        let rates: Vec<f64> =
-            rates.take(MOST_TOLD).map(|r| if r.is_finite() { r.max(0.0) } else { 0.0 }).collect();
-        if from < self.set.front_ends && from != self.set.my_number {
-            self.m.told.insert(from, (self.now, rates));
+        let Some((n, rest)) = bytes.split_first().filter(|b| usize::from(*b.0) <= MOST_TOLD) else { return };
+        let Some((rates, loads)) = rest.split_at_checked(usize::from(*n) * 4) else { return };
+        if from >= self.set.front_ends || from == self.set.my_number {
+            return;
+        }
+        let rates = rates.chunks_exact(4).map(|b| f64::from(f32::from_be_bytes([b[0], b[1], b[2], b[3]])));
+        let rates = rates.map(|r| if r.is_finite() { r.max(0.0) } else { 0.0 }).collect();
+        self.m.told.insert(from, (self.now, rates));
+        let span = self.keep() * LOAD_SPAN;
+        for word in loads.chunks_exact(4) {
+            let named = self.m.workers.iter_mut().find(|(id, _)| short(**id) == word[..2]);
+            named.into_iter().for_each(|(_, w)| w.load.take(self.now, span, [word[2], word[3]]));
         }
     }
 
@@ -489,7 +513,15 @@
     /// How busy a worker looks: slowness, attempts and loads in hand by size.
     fn busy(&self, w: &Worker) -> f64 {
         let alike = self.set.front_ends.clamp(1, MANY); // the others send there as well
-        w.slow * (1.0 + f64::from((w.out + w.loads) * alike) / (BUSY_LANES * w.size))
+        w.slow.max(self.load(w)) * (1.0 + f64::from((w.out + w.loads) * alike) / (BUSY_LANES * w.size))
+    }
+
+    /// How loaded a worker is by what all front ends saw; 1 is as usual, and where nobody tells.
+    fn load(&self, w: &Worker) -> f64 {
+        if !self.set.may_message {
+            return 1.0;
+        }
+        w.load.mean(self.now, self.keep() * LOAD_SPAN, 1.0, LITTLE)
     }
 
     /// Expected service time: the function's, else its class's, else a part of the aim.
@@ -540,7 +572,14 @@
             }
         }
         if let Some((_, id)) = best {
-            return Choice::Send(id);
+            // Homes are the same for all front ends: one that is loaded beyond the others gives to the next.
+            let load = |w: &Worker| self.load(w) / self.m.mean_load;
+            let over = |id: &WorkerId| self.m.workers.get(id).map_or(1.0, load);
+            let (heavy, stays) = (over(&id), unit_hash(&open.id, !id));
+            let lighter = |o: &&WorkerId| over(o) < heavy && may(**o) && !tried(**o);
+            let moves = stays * heavy > 1.0 && self.set.when_absent == WhenAbsent::Load;
+            let next = fun.homes.iter().take(fun.spread + NEXT_HOMES).find(lighter).filter(|_| moves);
+            return Choice::Send(next.copied().unwrap_or(id));
         }
         // The turn of this request: each lane that frees serves one of those ahead first, then frees again.
         let mut wait = f64::INFINITY;
@@ -682,13 +721,25 @@
     ) {
         let Told { outcome, lag, mark, crowd, .. } = told;
         let others = crowd.filter(|_| self.set.marks_crowd).map(|c| f64::from(c.saturating_sub(own)));
-        let kind_pause = self.set.keep_alive / KIND_PAUSE;
+        let (kind_pause, load_span) = (self.set.keep_alive / KIND_PAUSE, self.keep() * LOAD_SPAN);
         let (now, sweep, mean_slow) = (self.now, self.sweep, self.m.mean_slow());
         let believed = self.warm(f, worker) > 0;
         let pause = sweep * BACKOFF + self.rng.u64(0..=sweep * BACKOFF);
         let fun = &mut self.m.functions[f];
         let Some((w, c)) = self.m.workers.get_mut(&worker).zip(fun.copies.get_mut(&worker)) else { return };
         use Outcome::*;
+        let usual = self.m.class_mean[fun.class];
+        let sample = match outcome {
+            Ok if !matches!(mark, CopyMark::BeganLoad | CopyMark::WaitedForLoad) => Some(lag as f64 / usual),
+            Timeout | Cancelled if waited as f64 > usual + if believed { 0.0 } else { fun.load } => {
+                Some(LOADED)
+            }
+            Full => crowd.filter(|n| lag <= sweep || *n >= QUEUED).map(|_| LOADED),
+            _ => None,
+        };
+        if let Some(x) = sample.filter(|_| usual > 0.0) {
+            w.load.add(now, load_span, x.clamp(1.0 / LOADED, LOADED), 1.0);
+        }
         if !matches!(outcome, Timeout | Cancelled | Moot | ConnectFailed) {
             w.whole.heard = now;
         }
@@ -837,6 +888,8 @@
             out.push(Action::Subscribe { on: true });
         }
         self.tell(out);
+        let loads = self.m.ready().map(|w| self.load(w)).sum::<f64>();
+        self.m.mean_load = (loads / self.m.ready().count().max(1) as f64).max(0.1);
         // What answers took fades: one found slow in a bad moment gets hardly an answer to prove otherwise.
         let fade = (-(self.sweep as f64) / (self.keep() * SLOW_SPAN)).exp();
         self.m.workers.values_mut().for_each(|w| w.slow = 1.0 + (w.slow - 1.0) * fade);
--- a/crates/badgerwind/src/state.rs
+++ b/crates/badgerwind/src/state.rs
@@ -19,6 +19,48 @@
     }
 }
 
+/// A mean that front ends keep together: each sample adds mass, and half of the mass goes to another front
+/// end at each word, so that no sample counts twice however far it travels, and one that is lost takes its
+/// part along (push-sum; Kempe, Dobra and Gehrke 2003). Old samples fade.
+#[derive(Debug, Default, Clone, Copy)]
+pub(crate) struct Shared {
+    sum: Decay,
+    mass: Decay,
+}
+
+impl Shared {
+    pub(crate) fn add(&mut self, now: Time, span: f64, value: f64, mass: f64) {
+        self.sum.add(now, span, value * mass);
+        self.mass.add(now, span, mass);
+    }
+    /// The mean, as if one more sample of so little mass had said `prior`.
+    pub(crate) fn mean(&self, now: Time, span: f64, prior: f64, little: f64) -> f64 {
+        (self.sum.get(now, span) + prior * little) / (self.mass.get(now, span) + little)
+    }
+    pub(crate) fn mass(&self, now: Time, span: f64) -> f64 {
+        self.mass.get(now, span)
+    }
+    /// Gives half of the mass away, as a word of two bytes: the mean and the mass, each as a logarithm.
+    pub(crate) fn give(&mut self, now: Time, span: f64) -> [u8; 2] {
+        let (mean, mass) = (self.mean(now, span, 1.0, 1e-9), self.mass(now, span) / 2.0);
+        self.add(now, span, mean, -mass);
+        let byte = |x: f64, steps: f64| (x.max(1e-9).log2() * steps + 128.0).round().clamp(0.0, 255.0) as u8;
+        [byte(mean, 32.0), byte(mass, 16.0)]
+    }
+    /// Takes in what another gave away.
+    pub(crate) fn take(&mut self, now: Time, span: f64, word: [u8; 2]) {
+        let value = |b: u8, steps: f64| ((f64::from(b) - 128.0) / steps).exp2();
+        if word[1] > 0 {
+            self.add(now, span, value(word[0], 32.0), value(word[1], 16.0));
+        }
+    }
+}
+
+/// A worker's name in a message.
+pub(crate) fn short(worker: WorkerId) -> [u8; 2] {
+    ((worker ^ (worker >> 16)) as u16).to_be_bytes()
+}
+
 /// Times of something done lately.
 #[derive(Debug, Default)]
 pub(crate) struct Recent(VecDeque<Time>);
@@ -75,6 +117,8 @@
     pub loads: u32,
     /// Observed service time over what its functions take elsewhere.
     pub slow: f64,
+    /// Time that answers took over what their class takes, as all front ends see it.
+    pub load: Shared,
     /// As a whole, and by kind of traffic.
     pub whole: Health,
     pub kinds: BTreeMap<Kind, Health>,
@@ -291,6 +335,8 @@
     pub logged_at: Time,
     /// Service time, in expected ones, that hardly an answer exceeds.
     pub tail: f64,
+    /// How loaded workers are in the mean.
+    pub mean_load: f64,
     /// Further tries that the retry budget allows now.
     pub retries: f64,
     /// Number of the list, counted up at each change.
