Fleet budgets: one whole, each unit with one owner at most, between processes

Need: whole / front-ends wastes what dead front ends held and exceeds the whole where the typed number is too small.

Not yet: in serve, membership, fleet status, 200 schedules on processes. The platform front does not use it.

--- a/crates/badgerwind-check/src/lib.rs
+++ b/crates/badgerwind-check/src/lib.rs
@@ -4,6 +4,7 @@
 //! Every record bears the time at which its writer saw the matter, in microseconds of one clock. Messages take time
 //! between two writers, so a rule that compares two of them allows [`Facts::transit`].
 
+pub mod budgets;
 mod judge;
 mod record;
 pub mod worth;
--- a/crates/badgerwind-cli/benches/config.rs
+++ b/crates/badgerwind-cli/benches/config.rs
@@ -156,6 +156,7 @@
         runners: None,
         fenced: false,
         reckless: false,
+        budgets: false,
         script: Some(script),
         report: None,
         keep: None,
--- /dev/null
+++ b/crates/badgerwind-cli/src/budgets/day.rs
@@ -0,0 +1,237 @@
+//! A bad day of a fleet's budgets: members as processes, a network of relays, a schedule, and the sums from the records.
+
+use super::net::Net;
+use super::schedule::{Act, Schedule};
+use super::Trial;
+use crate::{write_whole, Stop};
+use badgerwind_check::budgets::{judge, Line, Sums};
+use badgerwind_webhook::{Key, KeyKind};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use std::fs::{File, OpenOptions};
+use std::io::Write;
+use std::os::unix::fs::OpenOptionsExt;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+/// Times of a trial, in microseconds: short, so that a day of seconds sees many leases.
+const VOTE: u64 = 300_000;
+const LEASE: u64 = 1_000_000;
+const BEAT: u64 = 100_000;
+const REST: u64 = 150_000;
+/// How far lines of two processes may be apart in time: they read one clock of one machine.
+const FAIR: u64 = 1_000;
+
+/// What a day came to.
+#[derive(Debug)]
+pub struct Played {
+    /// From the records.
+    pub sums: Sums,
+    /// Members that ended by themselves, or did not start.
+    pub wrong: Vec<String>,
+    /// Datagrams and bytes a second between all members.
+    pub carried: (f64, f64),
+}
+
+struct Process(Child);
+
+impl Process {
+    fn signal(&self, name: &str) -> Result<(), Stop> {
+        // The standard library has only SIGKILL.
+        let done = Command::new("kill").args([name, &self.0.id().to_string()]).status();
+        match done {
+            Ok(status) if status.success() => Ok(()),
+            other => Err(Stop::failed(format!("cannot send {name}: {other:?}"))),
+        }
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = (self.0.kill(), self.0.wait()); // already gone is as good
+    }
+}
+
+struct Fleet<'a> {
+    program: &'a Path,
+    folder: &'a Path,
+    net: &'a Net,
+    fast: Vec<i64>,
+    processes: Vec<Option<Process>>,
+    starts: u32,
+    wrong: Vec<String>,
+}
+
+impl Fleet<'_> {
+    fn start(&mut self, n: u16) -> Result<(), Stop> {
+        let at = usize::from(n);
+        if self.processes[at].is_some() {
+            return Ok(());
+        }
+        self.starts += 1;
+        let file = |name: String| self.folder.join(name);
+        let log = File::create(file(format!("member-{n}-{}.log", self.starts)));
+        let log = log.map_err(|e| Stop::failed(format!("cannot write a log: {e}")))?;
+        let child = Command::new(self.program)
+            .arg("fleet-member")
+            .args(["--number", &n.to_string(), "--listen", &self.net.listen[at].to_string()])
+            .arg("--trial")
+            .arg(file("trial.json".into()))
+            .arg("--key")
+            .arg(file("key".into()))
+            .arg("--record")
+            .arg(file(format!("member-{n}-{}.jsonl", self.starts)))
+            .args(["--clock-fast", &self.fast[at].to_string()])
+            .stdin(Stdio::null())
+            .stderr(log)
+            .spawn();
+        let child = child.map_err(|e| Stop::failed(format!("cannot start a member: {e}")))?;
+        self.processes[at] = Some(Process(child));
+        Ok(())
+    }
+
+    /// Those that ended though nobody killed them.
+    fn look(&mut self) {
+        for (n, p) in self.processes.iter_mut().enumerate() {
+            if let Some(status) = p.as_mut().and_then(|p| p.0.try_wait().ok().flatten()) {
+                self.wrong.push(format!("member {n} ended by itself: {status}"));
+                *p = None;
+            }
+        }
+    }
+}
+
+fn lines(folder: &Path) -> Result<Vec<Line>, Stop> {
+    let failed = |e: std::io::Error| Stop::failed(format!("cannot read the records: {e}"));
+    let mut all = Vec::new();
+    for entry in std::fs::read_dir(folder).map_err(failed)? {
+        let path: PathBuf = entry.map_err(failed)?.path();
+        if path.extension().is_none_or(|e| e != "jsonl") {
+            continue;
+        }
+        let mut text = std::fs::read_to_string(&path).map_err(failed)?;
+        // A writer that was killed may have left half a line.
+        text.truncate(text.rfind('\n').map_or(0, |at| at + 1));
+        for line in text.lines() {
+            let line = serde_json::from_str(line);
+            all.push(line.map_err(|e| Stop::failed(format!("{}: {e}", path.display())))?);
+        }
+    }
+    Ok(all)
+}
+
+/// Plays a schedule with members of this program, and judges it. The folder keeps what they wrote.
+pub fn play(schedule: &Schedule, program: &Path, folder: &Path) -> Result<Played, Stop> {
+    let failed = |e: std::io::Error| Stop::failed(format!("no network: {e}"));
+    let net = Net::start(usize::from(schedule.members), schedule.seed).map_err(failed)?;
+    net.change(|w| {
+        (w.loss, w.twice) = (schedule.loss, schedule.twice);
+        w.delay = Duration::from_millis(schedule.delay_ms);
+    });
+    let key = Key::generate(KeyKind::Shared).map_err(|e| Stop::failed(format!("no key: {e}")))?;
+    let path = folder.join("key");
+    let file = OpenOptions::new().write(true).create_new(true).mode(0o600).open(&path);
+    file.and_then(|mut f| f.write_all(key.to_text().as_bytes()))
+        .map_err(|e| Stop::failed(format!("cannot write {}: {e}", path.display())))?;
+    let mut trial = Trial {
+        version: 1,
+        units: schedule.units,
+        floor: schedule.floor,
+        rest: REST,
+        vote: VOTE,
+        lease: LEASE,
+        beat: BEAT,
+        drift: schedule.drift,
+        voters: (0..schedule.voters).collect(),
+        peers: (0..).zip(net.known.iter().copied()).collect(),
+        wants: (0..schedule.members).map(|n| (n, schedule.units)).collect(),
+    };
+    let tell = |trial: &Trial| -> Result<(), Stop> {
+        let text = serde_json::to_string(trial).map_err(|e| Stop::failed(e.to_string()))?;
+        write_whole(&folder.join("trial.json"), &text)
+    };
+    tell(&trial)?;
+    let mut rng = StdRng::seed_from_u64(schedule.seed);
+    let bound = i64::from(schedule.drift);
+    let fast = (0..schedule.members).map(|_| rng.random_range(-bound..=bound)).collect();
+    let processes = (0..schedule.members).map(|_| None).collect();
+    let mut fleet = Fleet { program, folder, net: &net, fast, processes, starts: 0, wrong: Vec::new() };
+    (0..schedule.members).try_for_each(|n| fleet.start(n))?;
+    let began = Instant::now();
+    for (at, act) in &schedule.acts {
+        std::thread::sleep(Duration::from_millis(*at).saturating_sub(began.elapsed()));
+        fleet.look();
+        let each = |who: &[u16], signal: &str| -> Result<(), Stop> {
+            let mut all = who.iter().filter_map(|n| fleet.processes[usize::from(*n)].as_ref());
+            all.try_for_each(|p| p.signal(signal))
+        };
+        match act {
+            Act::Kill { who } => who.iter().for_each(|n| fleet.processes[usize::from(*n)] = None),
+            Act::Start { who } => who.iter().try_for_each(|n| fleet.start(*n))?,
+            Act::Stop { who } => each(who, "-STOP")?,
+            Act::Go { who } => each(who, "-CONT")?,
+            Act::Cut { from, to } => net.change(|w| {
+                w.cuts.extend(from.iter().flat_map(|f| to.iter().map(|t| (*f, *t))));
+            }),
+            Act::Heal => net.change(|w| w.cuts.clear()),
+            Act::Whole { units } => {
+                (trial.version, trial.units) = (trial.version + 1, *units);
+                tell(&trial)?;
+            }
+        }
+    }
+    std::thread::sleep(Duration::from_millis(schedule.ms).saturating_sub(began.elapsed()));
+    fleet.look();
+    let (wrong, seconds) = (std::mem::take(&mut fleet.wrong), began.elapsed().as_secs_f64());
+    drop(fleet);
+    let sums = judge(&lines(folder)?, schedule.units, REST, FAIR);
+    let per_second = |n: u64| n as f64 / seconds;
+    let (count, bytes) = (net.carried.0.load(Ordering::Relaxed), net.carried.1.load(Ordering::Relaxed));
+    Ok(Played { sums, wrong, carried: (per_second(count), per_second(bytes)) })
+}
+
+/// `bad-day --budgets`: draws a schedule, plays it, tells what it came to.
+pub fn run(seed: u64, seconds: u64, fronts: Option<u32>, keep: Option<&Path>) -> Result<(), Stop> {
+    let members =
+        fronts.map_or_else(|| StdRng::seed_from_u64(seed).random_range(3..=16), |n| n.max(2) as u16);
+    let schedule = Schedule::draw(seed, members, seconds * 1000);
+    let made;
+    let folder = match keep {
+        Some(folder) => {
+            std::fs::create_dir(folder).map_err(|e| Stop::usage(format!("{}: {e}", folder.display())))?;
+            folder
+        }
+        None => {
+            made = tempfile::tempdir().map_err(|e| Stop::failed(format!("no temporary folder: {e}")))?;
+            made.path()
+        }
+    };
+    let text = serde_json::to_string_pretty(&schedule).map_err(|e| Stop::failed(e.to_string()))?;
+    write_whole(&folder.join("schedule.json"), &text)?;
+    let program =
+        std::env::current_exe().map_err(|e| Stop::failed(format!("cannot find this program: {e}")))?;
+    let Played { sums, wrong, carried } = play(&schedule, &program, folder)?;
+    println!(
+        "seed {seed}, {seconds} s, {members} members ({} vote), {} units, floors of {}, {} troubles",
+        schedule.voters,
+        schedule.units,
+        schedule.floor,
+        schedule.acts.len()
+    );
+    println!(
+        "{} units spent; {:.0} datagrams, {:.0} bytes a second in all",
+        sums.spends, carried.0, carried.1
+    );
+    println!("most spent in a window: {:.2} of the whole", sums.spent);
+    wrong.iter().chain(sums.broken.iter().take(10)).for_each(|w| println!("{w}"));
+    println!("no calls are played on these days, so that the five rules are not judged");
+    if sums.broken.is_empty() && wrong.is_empty() {
+        println!("budgets: kept, at most {:.2} of the whole", sums.owned);
+        Ok(())
+    } else {
+        println!("budgets: broken, {} times", sums.broken.len() + wrong.len());
+        Err(Stop::failed(String::new()))
+    }
+}
--- a/crates/badgerwind-cli/src/day/mod.rs
+++ b/crates/badgerwind-cli/src/day/mod.rs
@@ -43,6 +43,10 @@
     /// A script of troubles, as a report of another day holds it
     #[arg(long)]
     pub script: Option<PathBuf>,
+    /// Members of a fleet's budgets alone, as processes that are killed, stopped and cut off from each other, and the sums
+    /// of what they owned and spent, from their records
+    #[arg(long, conflicts_with_all = ["like", "script", "load", "runners", "fenced"])]
+    pub budgets: bool,
     /// Runners fence lodgements by a ledger, and senders try them again whatever became of the try before
     #[arg(long)]
     pub fenced: bool,
@@ -195,6 +199,9 @@
 /// Plays a day, prints what it came to, and ends with 1 where a rule was broken; with 75 where only rules of time were
 /// and the machine had no CPU to keep them.
 pub fn run(args: &Args) -> Result<(), Stop> {
+    if args.budgets {
+        return crate::budgets::run(args.seed, args.seconds, args.fronts, args.keep.as_deref());
+    }
     let made;
     let folder = match &args.keep {
         Some(folder) => {
--- a/crates/badgerwind-cli/src/lib.rs
+++ b/crates/badgerwind-cli/src/lib.rs
@@ -1,5 +1,6 @@
 //! The sub-commands of `badgerwind`, as a library so that tests can put a front end together differently.
 
+pub mod budgets;
 pub mod control;
 pub mod day;
 pub mod demo;
--- a/crates/badgerwind-cli/src/main.rs
+++ b/crates/badgerwind-cli/src/main.rs
@@ -1,6 +1,6 @@
 //! `badgerwind`: a gateway that hands calls to workers which load functions or models when asked.
 
-use badgerwind_cli::{control, day, demo, keys, platform, send, serve, standin, trace, Stop};
+use badgerwind_cli::{budgets, control, day, demo, keys, platform, send, serve, standin, trace, Stop};
 use clap::{Parser, Subcommand};
 use std::process::ExitCode;
 
@@ -34,6 +34,9 @@
     Standin(standin::Command),
     /// Run a scripted bad day on loopback sockets and judge the five rules
     BadDay(day::Args),
+    /// A member of a fleet's budgets that spends what it may; bad days start many
+    #[command(hide = true)]
+    FleetMember(budgets::MemberArgs),
     /// Start a gateway with stand-ins on free ports, send a few signed calls, and tell what happened to each
     Demo(demo::Args),
 }
@@ -49,6 +52,7 @@
         Command::Trace(args) => trace::run(&args),
         Command::Standin(command) => standin::run(command),
         Command::BadDay(args) => day::run(&args),
+        Command::FleetMember(args) => budgets::member(&args),
         Command::Demo(args) => demo::run(&args),
     };
     match done {
--- /dev/null
+++ b/crates/badgerwind-cli/tests/budgets.rs
@@ -0,0 +1,105 @@
+//! Budgets of a fleet between processes: members of this program that are killed, stopped and cut off from each other. The
+//! verdicts are on sums and order, from the members' own records; none is on speed but that the fleet came to spend at all.
+
+use badgerwind_cli::budgets::{play, Act, Schedule};
+use std::path::Path;
+
+fn quiet(members: u16, ms: u64, acts: Vec<(u64, Act)>) -> Schedule {
+    Schedule {
+        seed: 7,
+        members,
+        voters: members.min(3),
+        units: 2 * members,
+        floor: 0,
+        loss: 0.0,
+        twice: 0.0,
+        delay_ms: 2,
+        drift: 10_000,
+        ms,
+        acts,
+    }
+}
+
+fn kept(schedule: &Schedule) -> badgerwind_check::budgets::Sums {
+    let folder = tempfile::tempdir().unwrap();
+    let played = play(schedule, Path::new(env!("CARGO_BIN_EXE_badgerwind")), folder.path()).unwrap();
+    assert!(played.wrong.is_empty(), "{:?}", played.wrong);
+    assert!(played.sums.broken.is_empty(), "{:?}", played.sums.broken);
+    assert!(played.sums.owned <= 1.0 && played.sums.spent <= 1.0);
+    played.sums
+}
+
+#[test]
+fn seven_in_ten_killed_at_once_and_back_at_once() {
+    let dying: Vec<u16> = (3..10).collect();
+    let acts = vec![(2500, Act::Kill { who: dying.clone() }), (4500, Act::Start { who: dying })];
+    let sums = kept(&quiet(10, 7000, acts));
+    assert_eq!(sums.owned, 1.0, "all of it came to be owned");
+    // Those that are left have the dead ones' parts before these are back.
+    let left = &sums.over_time[40..45];
+    println!("owned of 20 units, in tenths of a second: {:?}", sums.over_time);
+    assert!(left.iter().any(|n| *n > 12), "{left:?}");
+}
+
+#[test]
+fn one_stopped_for_longer_than_its_lease_spends_nothing_of_it_after() {
+    let acts = (0..3)
+        .flat_map(|n| {
+            let who = vec![n, n + 3];
+            [
+                (2000 + 1300 * u64::from(n), Act::Stop { who: who.clone() }),
+                (3100 + 1300 * u64::from(n), Act::Go { who }),
+            ]
+        })
+        .collect();
+    let sums = kept(&quiet(6, 7000, acts));
+    assert!(sums.spends > 100, "{}", sums.spends);
+}
+
+#[test]
+fn halves_that_hear_only_themselves_never_own_more_than_the_whole() {
+    let (a, b): (Vec<u16>, Vec<u16>) = ((0..3).collect(), (3..6).collect());
+    let acts = vec![
+        (2200, Act::Cut { from: a.clone(), to: b.clone() }),
+        (2200, Act::Cut { from: b.clone(), to: a.clone() }),
+        (4200, Act::Heal),
+        (5000, Act::Cut { from: b, to: a }),
+        (6500, Act::Heal),
+    ];
+    kept(&quiet(6, 7500, acts));
+}
+
+#[test]
+fn a_whole_that_is_halved_in_use_and_a_voter_that_flaps() {
+    let mut acts = vec![(2500, Act::Whole { units: 6 }), (4500, Act::Whole { units: 12 })];
+    for n in 0..8 {
+        acts.push((2000 + 500 * n, Act::Kill { who: vec![1] }));
+        acts.push((2150 + 500 * n, Act::Start { who: vec![1] }));
+    }
+    acts.sort_by_key(|a| a.0);
+    let mut schedule = quiet(6, 7000, acts);
+    (schedule.loss, schedule.twice, schedule.delay_ms) = (0.3, 0.3, 20);
+    kept(&schedule);
+}
+
+#[test]
+fn drawn_days_are_kept() {
+    for seed in 1..=3 {
+        let schedule = Schedule::draw(seed, 3 + seed as u16 * 2, 6000);
+        kept(&schedule);
+    }
+}
+
+/// Two members under one name in two networks' eyes own the same floors: the judge must see what the deciders cannot.
+#[test]
+fn a_day_that_is_broken_is_told_so() {
+    use badgerwind_check::budgets::{judge, Line, What};
+    let line = |member, at| Line {
+        at,
+        member,
+        life: 1,
+        what: What::Owns { floor: vec![], granted: vec![(0, 3)], until: at + 1000 },
+    };
+    let sums = judge(&[line(1, 0), line(2, 500)], 3, 100, 0);
+    assert_eq!((sums.owned, sums.broken.len()), (2.0, 3));
+}
--- a/crates/badgerwind-gateway/src/lib.rs
+++ b/crates/badgerwind-gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod control;
 mod dispatch;
 mod engine;
+pub mod fleet;
 mod front;
 mod known;
 mod list;
