--- a/crates/badgerwind-budgets/tests/figures.rs
+++ b/crates/badgerwind-budgets/tests/figures.rs
@@ -41,6 +41,17 @@
     (after, again, seen.messages as f64 / seconds, seen.bytes as f64 / seconds)
 }
 
+/// Static shares would leave 0.3 for ever.
+#[test]
+fn those_that_are_left_have_the_dead_ones_granted_parts_within_seconds() {
+    let (after, ..) = day(30, vec![(8_000 * MS, Fault::Kill((9..30).collect()))], 0.0);
+    println!("{after:?}");
+    assert!(after[0] > 0.99 && after[3] > 0.8, "{after:?}");
+    // Where most voters are dead only floors are left.
+    let (after, ..) = day(30, vec![(8_000 * MS, Fault::Kill((0..21).collect()))], 0.0);
+    assert!(after[3] < 0.1, "{after:?}");
+}
+
 #[test]
 #[ignore = "figures of docs/design/fleet-budgets.md"]
 fn figures() {
--- a/crates/badgerwind-cli/src/budgets/mod.rs
+++ b/crates/badgerwind-cli/src/budgets/mod.rs
@@ -142,14 +142,14 @@
             }
         }
         turn += 1;
-        // The time of a line is taken before what it tells of: a stop in between must not make it look late.
-        let at = wall();
-        let (floor, granted, left) = member.with(|node, now| {
+        // A line bears the moment at which its matter was looked at: a stop before it is written changes nothing.
+        let (floor, granted, left, now) = member.with(|node, now| {
             let whole = &node.book().wholes[0];
             let (floor, all) = (whole.floor_of(number), node.owned(now, 0));
             let granted = all.only(|u| !floor.has(u));
-            (floor.ranges().to_vec(), granted.ranges().to_vec(), node.until(0).saturating_sub(now))
+            (floor.ranges().to_vec(), granted.ranges().to_vec(), node.until(0).saturating_sub(now), now)
         });
+        let at = member.wall_at(now);
         let until = if granted.is_empty() { at } else { at + left };
         let news = (floor.clone(), granted.clone(), until / 20_000);
         if told.as_ref() != Some(&news) {
@@ -157,9 +157,8 @@
             told = Some(news);
         }
         for _ in 0..4 {
-            let at = wall();
-            let Some(unit) = member.spend(0) else { break };
-            record.write(&line(at, What::Spent { unit }))?;
+            let Some((unit, now)) = member.spend(0) else { break };
+            record.write(&line(member.wall_at(now), What::Spent { unit }))?;
         }
         std::thread::sleep(Duration::from_millis(3));
     }
--- a/crates/badgerwind-cli/src/budgets/net.rs
+++ b/crates/badgerwind-cli/src/budgets/net.rs
@@ -5,8 +5,8 @@
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
 use std::collections::{BTreeSet, BinaryHeap};
-use std::net::{SocketAddr, UdpSocket};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -36,6 +36,13 @@
     over: Arc<AtomicBool>,
 }
 
+/// A loopback address for each network of each process.
+fn own_address() -> Ipv4Addr {
+    static NETS: AtomicU32 = AtomicU32::new(0);
+    let (pid, n) = (std::process::id().to_be_bytes(), NETS.fetch_add(1, Ordering::Relaxed));
+    Ipv4Addr::new(127, 16 + (pid[2] & 0x7f), pid[3], 1 + (n % 250) as u8)
+}
+
 /// Datagrams that wait at a relay at the most; more are lost.
 const WAITING: usize = 4096;
 
@@ -43,8 +50,9 @@
     /// So many members.
     pub fn start(members: usize, seed: u64) -> std::io::Result<Net> {
         let bind = || UdpSocket::bind("127.0.0.1:0");
-        // Ports that were free a moment ago; the members bind them next.
-        let free: Vec<_> = (0..members).map(|_| bind()).collect::<Result<_, _>>()?;
+        // Members bind these next, and again after each death: on an address that nobody else draws ports from.
+        let own = own_address();
+        let free: Vec<_> = (0..members).map(|_| UdpSocket::bind((own, 0))).collect::<Result<_, _>>()?;
         let listen: Vec<_> = free.iter().map(UdpSocket::local_addr).collect::<Result<_, _>>()?;
         let relays: Vec<_> = (0..members).map(|_| bind()).collect::<Result<_, _>>()?;
         let known = relays.iter().map(UdpSocket::local_addr).collect::<Result<_, _>>()?;
--- a/crates/badgerwind-gateway/src/fleet.rs
+++ b/crates/badgerwind-gateway/src/fleet.rs
@@ -47,6 +47,7 @@
     socket: UdpSocket,
     options: MemberOptions,
     start: Instant,
+    start_wall: u64,
 }
 
 /// Wall time in microseconds since the Unix epoch: one clock for all processes of a machine, for records alone.
@@ -63,7 +64,7 @@
         let who = (options.number, wall());
         let part = StdRng::seed_from_u64(who.1).random();
         let node = Node::new(0, who, options.book.clone(), options.terms.clone(), part);
-        Ok(FleetMember { node: Mutex::new(node), socket, options, start: Instant::now() })
+        Ok(FleetMember { node: Mutex::new(node), socket, options, start: Instant::now(), start_wall: wall() })
     }
 
     /// Its own clock, which goes on while the process is stopped.
@@ -72,6 +73,12 @@
         (micros + micros * i128::from(self.options.clock_fast) / 1_000_000) as Time
     }
 
+    /// The same moment in wall time, for records: what was looked at under the lock, and not when that was written down.
+    pub fn wall_at(&self, now: Time) -> u64 {
+        let fast = 1_000_000 + i128::from(self.options.clock_fast);
+        self.start_wall + (i128::from(now) * 1_000_000 / fast.max(1)) as u64
+    }
+
     fn node(&self) -> MutexGuard<'_, Node> {
         self.node.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -84,9 +91,9 @@
         look(&mut node, now)
     }
 
-    /// Spends a unit of a budget, if one is there at this moment.
-    pub fn spend(&self, budget: usize) -> Option<Unit> {
-        self.with(|node, now| node.spend(now, budget))
+    /// Spends a unit of a budget, if one is there at this moment: which, and the moment.
+    pub fn spend(&self, budget: usize) -> Option<(Unit, Time)> {
+        self.with(|node, now| Some((node.spend(now, budget)?, now)))
     }
 
     /// Hears and says what is due until told to stop.
