--- a/crates/badgerwind-cli/src/budgets/day.rs
+++ b/crates/badgerwind-cli/src/budgets/day.rs
@@ -60,6 +60,8 @@
     net: &'a Net,
     fast: Vec<i64>,
     processes: Vec<Option<Process>>,
+    /// Where each writes what it has to say.
+    logs: Vec<PathBuf>,
     starts: u32,
     wrong: Vec<String>,
 }
@@ -72,7 +74,8 @@
         }
         self.starts += 1;
         let file = |name: String| self.folder.join(name);
-        let log = File::create(file(format!("member-{n}-{}.log", self.starts)));
+        self.logs[at] = file(format!("member-{n}-{}.log", self.starts));
+        let log = File::create(&self.logs[at]);
         let log = log.map_err(|e| Stop::failed(format!("cannot write a log: {e}")))?;
         let child = Command::new(self.program)
             .arg("fleet-member")
@@ -96,7 +99,9 @@
     fn look(&mut self) {
         for (n, p) in self.processes.iter_mut().enumerate() {
             if let Some(status) = p.as_mut().and_then(|p| p.0.try_wait().ok().flatten()) {
-                self.wrong.push(format!("member {n} ended by itself: {status}"));
+                let said = std::fs::read_to_string(&self.logs[n]).unwrap_or_default();
+                let last = said.lines().last().unwrap_or("it said nothing");
+                self.wrong.push(format!("member {n} ended by itself: {status}: {last}"));
                 *p = None;
             }
         }
@@ -157,7 +162,8 @@
     let bound = i64::from(schedule.drift);
     let fast = (0..schedule.members).map(|_| rng.random_range(-bound..=bound)).collect();
     let processes = (0..schedule.members).map(|_| None).collect();
-    let mut fleet = Fleet { program, folder, net: &net, fast, processes, starts: 0, wrong: Vec::new() };
+    let logs = vec![PathBuf::new(); usize::from(schedule.members)];
+    let mut fleet = Fleet { program, folder, net: &net, fast, processes, logs, starts: 0, wrong: Vec::new() };
     (0..schedule.members).try_for_each(|n| fleet.start(n))?;
     let began = Instant::now();
     for (at, act) in &schedule.acts {
--- a/crates/badgerwind-cli/src/fleet.rs
+++ b/crates/badgerwind-cli/src/fleet.rs
@@ -28,6 +28,8 @@
     Status(At),
     /// Each budget: who owns how much of it, until when, and what is in nobody's hands
     Budgets(At),
+    /// Each zone: its stage and share at each front end, and the evidence for it
+    Zones(At),
     /// One budget unit by unit: who owns which, until when, what rests and when it may be had
     Explain {
         /// Its name in the settings
@@ -122,14 +124,84 @@
     pub budgets: Vec<BudgetHere>,
 }
 
+/// What one front end saw of a zone's runners of late.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct OwnSight {
+    /// They answered in time.
+    pub heard: u16,
+    /// Late.
+    pub late: u16,
+    /// Not at all.
+    pub lost: u16,
+}
+
+/// What all that told came to.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct JointSight {
+    /// Front ends that told.
+    pub fronts: usize,
+    /// Of these, that hear it.
+    pub hearing: u16,
+    /// Evidence that it is lost, in nats.
+    pub lost: f64,
+    /// That it is late.
+    pub late: f64,
+}
+
+/// A zone by one front end's word.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ZoneHere {
+    /// Its name.
+    pub name: String,
+    /// Its stage by the fleet's word.
+    pub stage: String,
+    /// The part of its runners that this front end sends to.
+    pub share: f64,
+    /// Changes of stage so far.
+    pub generation: u16,
+    /// Since when, in milliseconds.
+    pub since_ms: u64,
+    /// Returns that failed lately.
+    pub failed_returns: u8,
+    /// This front end leaves it by its own word alone.
+    pub alone: bool,
+    /// Its own evidence.
+    pub own: OwnSight,
+    /// The joint one, where voters answer.
+    pub fleet: Option<JointSight>,
+}
+
+/// Zones by one front end's word.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct ZonesWord {
+    /// Its number.
+    pub number: u32,
+    /// By place.
+    pub zones: Vec<ZoneHere>,
+}
+
+/// All that a front end says.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub struct Whole {
+    /// Of budgets and members.
+    pub shares: Option<Word>,
+    /// Of zones.
+    pub zones: Option<ZonesWord>,
+}
+
 /// An address and what came from there.
 pub type Asked = (SocketAddr, Result<Word, String>);
 
 /// How long a front end may take to say it.
 const WITHIN: Duration = Duration::from_secs(3);
 
-/// Asks one front end.
+/// Asks one front end for its word of budgets and members.
 pub async fn ask(at: SocketAddr) -> Result<Word, String> {
+    ask_whole(at).await?.shares.ok_or_else(|| "its settings name no <budgets>".into())
+}
+
+/// Asks one front end for all that it says.
+pub async fn ask_whole(at: SocketAddr) -> Result<Whole, String> {
     let bounds = PoolBounds { most: 1, connect_time: WITHIN, idle_time: WITHIN, body_bytes: 16 << 20 };
     let request =
         Exchange { method: "GET", target: "/fleet".into(), headers: vec![], body: Arc::from(&b""[..]) };
@@ -141,14 +213,14 @@
     let (head, body) = asked.or(late).await?;
     match head.status {
         200 => serde_json::from_slice(&body).map_err(|e| format!("not a fleet's word: {e}")),
-        404 => Err("its settings name no <budgets>".into()),
+        404 => Err("its settings name neither <budgets> nor <leaving>".into()),
         status => Err(format!("status {status}")),
     }
 }
 
-fn ask_all(at: &[SocketAddr]) -> Vec<Asked> {
+fn ask_all(at: &[SocketAddr]) -> Vec<(SocketAddr, Result<Whole, String>)> {
     smol::block_on(async {
-        let tasks: Vec<_> = at.iter().map(|a| (*a, smol::spawn(ask(*a)))).collect();
+        let tasks: Vec<_> = at.iter().map(|a| (*a, smol::spawn(ask_whole(*a)))).collect();
         let mut all = Vec::new();
         for (a, task) in tasks {
             all.push((a, task.await));
@@ -160,33 +232,76 @@
 /// Runs a sub-command.
 pub fn run(command: &Command) -> Result<(), Stop> {
     let at = match command {
-        Command::Status(at) | Command::Budgets(at) | Command::Explain { at, .. } => at,
+        Command::Status(at) | Command::Budgets(at) | Command::Zones(at) | Command::Explain { at, .. } => at,
     };
-    let all = ask_all(&at.at);
-    let words: Vec<&Word> = all.iter().filter_map(|a| a.1.as_ref().ok()).collect();
-    if words.is_empty() {
-        let why: Vec<String> =
-            all.iter().filter_map(|a| Some(format!("{}: {}", a.0, a.1.as_ref().err()?))).collect();
-        return Err(Stop::failed(format!("no front end answers\n{}", why.join("\n"))));
-    }
-    if at.json {
-        let entry = |(at, word): &Asked| match word {
+    let whole = ask_all(&at.at);
+    if at.json && whole.iter().any(|a| a.1.is_ok()) {
+        let entry = |(at, word): &(SocketAddr, Result<Whole, String>)| match word {
             Ok(word) => serde_json::json!({ "at": at, "word": word }),
             Err(e) => serde_json::json!({ "at": at, "error": e }),
         };
-        let all: Vec<_> = all.iter().map(entry).collect();
+        let all: Vec<_> = whole.iter().map(entry).collect();
         println!("{}", serde_json::Value::from(all));
         return Ok(());
     }
+    if let Command::Zones(_) = command {
+        let zones: Vec<ZonesWord> =
+            whole.iter().filter_map(|(_, w)| w.as_ref().ok()?.zones.clone()).collect();
+        if zones.is_empty() {
+            return Err(Stop::failed("no front end that was asked has <leaving> in its settings"));
+        }
+        print!("{}", zone_table(&zones));
+        return Ok(());
+    }
+    let no = || "its settings name no <budgets>".to_owned();
+    let all: Vec<Asked> =
+        whole.into_iter().map(|(at, w)| (at, w.and_then(|w| w.shares.ok_or_else(no)))).collect();
+    let words: Vec<&Word> = all.iter().filter_map(|a| a.1.as_ref().ok()).collect();
+    if words.is_empty() {
+        let why: Vec<String> =
+            all.iter().filter_map(|a| Some(format!("{}: {}", a.0, a.1.as_ref().err()?))).collect();
+        return Err(Stop::failed(format!("no front end tells of budgets\n{}", why.join("\n"))));
+    }
     let text = match command {
         Command::Status(_) => status(&all),
-        Command::Budgets(_) => budgets(&words),
         Command::Explain { budget, .. } => explain(&words, budget)?,
+        Command::Budgets(_) | Command::Zones(_) => budgets(&words),
     };
     print!("{text}");
     Ok(())
 }
 
+/// Zones, as a table.
+pub fn zone_table(words: &[ZonesWord]) -> String {
+    let mut out = String::new();
+    let names: Vec<&str> =
+        words.first().map_or(vec![], |w| w.zones.iter().map(|z| z.name.as_str()).collect());
+    for name in names {
+        let _ = writeln!(out, "{name}");
+        let _ = writeln!(
+            out,
+            "  {:>6} {:<9} {:>6} {:>5} {:>10} {:>6}  {:<24} joint word",
+            "number", "stage", "share", "moves", "since", "failed", "own: heard late lost"
+        );
+        for (number, z) in
+            words.iter().filter_map(|w| Some((w.number, w.zones.iter().find(|z| z.name == name)?)))
+        {
+            let stage = if z.alone { "alone" } else { &z.stage };
+            let since = format!("{:.1} s", z.since_ms as f64 / 1e3);
+            let own = format!("{} {} {}", z.own.heard, z.own.late, z.own.lost);
+            let joint = z.fleet.as_ref().map_or("no word from voters".to_owned(), |f| {
+                format!("lost {:.1} nats, late {:.1}; {} of {} hear it", f.lost, f.late, f.hearing, f.fronts)
+            });
+            let (share, moves, failed) = (z.share, z.generation, z.failed_returns);
+            let _ = writeln!(
+                out,
+                "  {number:>6} {stage:<9} {share:>6.3} {moves:>5} {since:>10} {failed:>6}  {own:<24} {joint}"
+            );
+        }
+    }
+    out
+}
+
 /// Who is there, as a table.
 pub fn status(all: &[Asked]) -> String {
     let mut out =
--- a/crates/badgerwind-cli/tests/rig/mod.rs
+++ b/crates/badgerwind-cli/tests/rig/mod.rs
@@ -49,6 +49,8 @@
     pub folder: Option<tempfile::TempDir>,
     /// The stand-in runners are met under TLS.
     pub runner_tls: Option<badgerwind_http::ServerTls>,
+    /// Runners are of so many zones in turn.
+    pub zones: u32,
     /// Where the stand-in runners fetch functions; without one that takes no time.
     pub store: Option<SocketAddr>,
     /// Further files in its folder, for its owner's eyes.
@@ -85,6 +87,7 @@
             process: false,
             runner_tls: None,
             store: None,
+            zones: 1,
             files: vec![],
             fenced: false,
             control: None,
@@ -234,7 +237,7 @@
                 tls: plan.runner_tls.clone(),
             };
             tasks.push(smol::spawn(runner::serve(listener, options)));
-            runners.push(listed(id, address, State::Ready));
+            runners.push(Runner { zone: (id - 1) % plan.zones, ..listed(id, address, State::Ready) });
         }
         let (listener, list_address) = socket().await;
         match &plan.cached {
--- /dev/null
+++ b/crates/badgerwind-cli/tests/zones.rs
@@ -0,0 +1,246 @@
+//! Front ends that serve, as processes, and zones that fail between them: every connection of a front end to a runner goes
+//! through a link of its own. What is verdict here is where calls arrive and what is believed, never how fast.
+
+mod rig;
+
+use badgerwind_check::What;
+use badgerwind_cli::budgets::Net;
+use badgerwind_cli::fleet::{ask_whole, ZoneHere};
+use badgerwind_cli::send::{post, Message};
+use badgerwind_protocol::list::{Runner, State};
+use badgerwind_standins::list;
+use badgerwind_standins::relay::{Flow, Link, Relay};
+use rig::{Plan, Rig};
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+const ZONES: usize = 3;
+const EACH: usize = 3;
+const FUNCTIONS: usize = 60;
+
+fn edits(n: usize, net: &Net) -> Vec<(&'static str, String)> {
+    let members = net.known.len();
+    let peer = |m: usize| format!("<peer number=\"{m}\" address=\"{}\"/>", net.known[m]);
+    let peers: String = (0..members).filter(|m| *m != n).map(peer).collect();
+    let voters: String = (0..members.min(3)).map(|v| format!("<voter number=\"{v}\"/>")).collect();
+    // Many functions, so that each front end has work for runners of every zone.
+    let functions: String = (0..FUNCTIONS)
+        .map(|f| format!("<function name=\"f{f}\" memory-mb=\"100\" lanes=\"8\" load-time=\"5ms\"/>"))
+        .collect();
+    vec![
+        ("<function name=\"check-0\"", format!("{functions}<function name=\"check-0\"")),
+        (
+            "<route path=\"/check\" sender=\"portal\" class=\"check\" function=\"check-0\"/>",
+            "<route path=\"/check/*\" sender=\"portal\" class=\"check\"/>".into(),
+        ),
+        ("front-ends=\"1\" number=\"0\"", format!("front-ends=\"{members}\" number=\"{n}\"")),
+        ("<zone name=\"here\"/>", "<zone name=\"here\"/><zone name=\"east\"/><zone name=\"west\"/>".into()),
+        ("warm-after=\"5s\"", "warm-after=\"2s\"".into()),
+        (
+            "<metrics",
+            format!(
+                "<peers listen=\"{}\" key-file=\"runners.key\">{peers}</peers>\
+                 <leaving beat=\"50ms\" quiet=\"500ms\" most-quiet=\"8s\">{voters}</leaving><metrics",
+                net.listen[n]
+            ),
+        ),
+    ]
+}
+
+struct Callers {
+    over: Arc<AtomicBool>,
+    served: Arc<AtomicUsize>,
+    answered: Arc<AtomicUsize>,
+    tasks: Vec<smol::Task<()>>,
+}
+
+struct Fleet {
+    net: Net,
+    fronts: Vec<Rig>,
+    /// By front end and runner.
+    links: Vec<Vec<Relay>>,
+    lists: Vec<smol::Task<()>>,
+    callers: Callers,
+}
+
+impl Fleet {
+    async fn start(members: usize) -> Fleet {
+        let net = Net::start(members, 5).unwrap();
+        let (over, served, answered) = Default::default();
+        let callers = Callers { over, served, answered, tasks: vec![] };
+        let mut fleet = Fleet { net, fronts: vec![], links: vec![], lists: vec![], callers };
+        // The first rig has the runners; its own front end is not asked anything.
+        let keeper = Rig::start(Plan { runners: ZONES * EACH, zones: ZONES as u32, ..Plan::default() }).await;
+        fleet.fronts.push(keeper);
+        for n in 0..members {
+            fleet.begin(n).await;
+        }
+        (0..members).for_each(|n| fleet.call(n));
+        fleet
+    }
+
+    /// Starts a front end behind links of its own to every runner.
+    async fn begin(&mut self, n: usize) {
+        let mut listed: Vec<Runner> = vec![];
+        let mut links = vec![];
+        for r in &self.fronts[0].runners {
+            let link = Relay::start(r.address).await.unwrap();
+            listed.push(Runner { address: link.at, state: State::Ready, ..r.clone() });
+            links.push(link);
+        }
+        let (listener, at) = rig::socket().await;
+        self.lists.push(smol::spawn(list::serve(listener, listed, self.fronts[0].recorder.clone())));
+        let (runners, _, keys, recorder) = self.fronts[0].beside().unwrap();
+        let edits = edits(n, &self.net);
+        let beside = Some((runners, at, keys, recorder));
+        let plan = Plan { runners: 0, process: true, edits, beside, ..Plan::default() };
+        self.fronts.push(Rig::start(plan).await);
+        self.links.push(links);
+    }
+
+    fn front(&self, n: usize) -> &Rig {
+        &self.fronts[n + 1]
+    }
+
+    /// Calls at a front end, four at a time, until the fleet ends.
+    fn call(&mut self, n: usize) {
+        for lane in 0..4 {
+            let c = &self.callers;
+            let (over, served, answered) = (c.over.clone(), c.served.clone(), c.answered.clone());
+            let (to, key) = (self.front(n).to, self.front(n).key.clone());
+            self.callers.tasks.push(smol::spawn(async move {
+                for i in 0.. {
+                    if over.load(Ordering::Relaxed) {
+                        return;
+                    }
+                    let id = format!("z-{n}-{lane}-{i}");
+                    let body = br#"{"work_us": 2000, "mean_us": 2000}"#.to_vec();
+                    let deadline = Duration::from_secs(10);
+                    let path = format!("/check/f{}", (i * 7 + lane * 13 + n) % FUNCTIONS);
+                    let message =
+                        Message { id: &id, path: &path, deadline, retry: false, callback: None, body };
+                    let sent = post(to, &key, message);
+                    let pause = smol::Timer::after(Duration::from_millis(25));
+                    let (got, _) = futures_lite::future::zip(sent, pause).await;
+                    answered.fetch_add(usize::from(got.is_ok()), Ordering::Relaxed);
+                    served.fetch_add(usize::from(got.is_ok_and(|(h, _)| h.status == 200)), Ordering::Relaxed);
+                }
+            }));
+        }
+    }
+
+    /// How a front end's links to a zone fare.
+    fn link(&self, n: usize, zone: usize, link: Link) {
+        let of_zone = self.fronts[0].runners.iter().zip(&self.links[n]);
+        of_zone.filter(|(r, _)| r.zone as usize == zone).for_each(|(_, l)| l.set(link));
+    }
+
+    async fn zones(&self, n: usize) -> Vec<ZoneHere> {
+        match ask_whole(self.front(n).metrics).await {
+            Ok(whole) => whole.zones.unwrap().zones,
+            Err(_) => vec![],
+        }
+    }
+
+    async fn until(&self, what: &str, fronts: &[usize], holds: impl Fn(&[ZoneHere]) -> bool) {
+        let mut last = BTreeMap::new();
+        for _ in 0..1200 {
+            last.clear();
+            for n in fronts {
+                last.insert(*n, self.zones(*n).await);
+            }
+            if last.values().all(|z| !z.is_empty() && holds(z)) {
+                return;
+            }
+            smol::Timer::after(Duration::from_millis(25)).await;
+        }
+        panic!("it never came that {what}: {last:?}");
+    }
+
+    /// Calls that arrived at a zone's runners so far.
+    fn arrived(&self, zone: usize) -> usize {
+        let of = |id: u32| self.fronts[0].runners.iter().any(|r| r.id == id && r.zone as usize == zone);
+        let lines = self.fronts[0].lines();
+        lines.iter().filter(|l| matches!(l.what, What::Arrived { runner, .. } if of(runner))).count()
+    }
+
+    async fn end(self) -> (usize, usize) {
+        self.callers.over.store(true, Ordering::Relaxed);
+        for task in self.callers.tasks {
+            task.await;
+        }
+        (self.callers.served.load(Ordering::Relaxed), self.callers.answered.load(Ordering::Relaxed))
+    }
+}
+
+const SILENT: Link = Link { there: Flow::Silent, back: Flow::Silent, broken: false };
+const BROKEN: Link = Link { there: Flow::Open, back: Flow::Open, broken: true };
+
+#[test]
+fn a_silent_zone_is_left_by_all_and_returned_to_by_steps() {
+    smol::block_on(async {
+        let all = [0, 1, 2, 3];
+        let fleet = Fleet::start(4).await;
+        fleet.until("all have voters' word", &all, |z| z.iter().all(|z| z.fleet.is_some())).await;
+        all.iter().for_each(|n| fleet.link(*n, 1, SILENT));
+        fleet.until("all have left it together", &all, |z| z[1].stage == "left" && z[1].share == 0.0).await;
+        for n in all {
+            assert!(fleet.zones(n).await.iter().enumerate().all(|(z, at)| z == 1 || at.share == 1.0));
+        }
+        // What was under way when it fell silent is over; then nothing arrives but what probes ask.
+        let before = fleet.arrived(1);
+        smol::Timer::after(Duration::from_millis(600)).await;
+        assert_eq!(fleet.arrived(1), before, "calls to a zone that was left");
+        all.iter().for_each(|n| fleet.link(*n, 1, Link::default()));
+        fleet.until("it is open again everywhere", &all, |z| z[1].stage == "open" && z[1].share == 1.0).await;
+        // Left, three steps back, open.
+        fleet.until("its way led by steps", &all, |z| z[1].generation >= 5).await;
+        let (served, answered) = fleet.end().await;
+        println!("{served} of {answered} served");
+        assert!(served * 10 > answered * 9, "{served} of {answered}");
+    });
+}
+
+#[test]
+fn one_cut_off_from_a_zone_leaves_it_alone_and_the_others_stay() {
+    smol::block_on(async {
+        let fleet = Fleet::start(4).await;
+        fleet.link(3, 2, BROKEN);
+        fleet.until("it leaves alone", &[3], |z| z[2].alone && z[2].share == 0.0).await;
+        for n in 0..3 {
+            let z = fleet.zones(n).await;
+            assert!(z[2].stage == "open" && z[2].share == 1.0, "{z:?}");
+        }
+        fleet.link(3, 2, Link::default());
+        fleet.until("it is back", &[3], |z| !z[2].alone && z[2].share == 1.0).await;
+        fleet.end().await;
+    });
+}
+
+#[test]
+fn a_front_end_started_in_the_middle_hears_of_the_loss_and_most_killed_during_the_return_hold_nobody() {
+    smol::block_on(async {
+        let mut fleet = Fleet::start(5).await;
+        let all = [0, 1, 2, 3, 4];
+        // One way only: what is asked arrives, and no answer comes back.
+        let one_way = Link { there: Flow::Open, back: Flow::Silent, broken: false };
+        all.iter().for_each(|n| fleet.link(*n, 0, one_way));
+        fleet.until("all have left it", &all, |z| z[0].stage == "left").await;
+        // The last one dies and another life starts: behind new links that are as dead.
+        drop(fleet.fronts.pop());
+        fleet.links.pop();
+        fleet.begin(4).await;
+        fleet.link(4, 0, one_way);
+        fleet.until("the new one follows", &[4], |z| z[0].stage == "left" && z[0].share == 0.0).await;
+        all.iter().for_each(|n| fleet.link(*n, 0, Link::default()));
+        fleet.until("the return has begun", &[0], |z| z[0].stage == "back" || z[0].generation >= 5).await;
+        // Three of five are killed, a voter among them.
+        for _ in 2..5 {
+            drop(fleet.fronts.pop());
+        }
+        fleet.until("the others have it open", &[0, 1], |z| z[0].share == 1.0 && z[0].stage == "open").await;
+        fleet.end().await;
+    });
+}
--- a/crates/badgerwind-gateway/src/dispatch.rs
+++ b/crates/badgerwind-gateway/src/dispatch.rs
@@ -9,6 +9,7 @@
 use crate::runners::{Reply, Runners};
 use crate::shares::Shares;
 use crate::trace::TraceParent;
+use crate::zones::Zones;
 use async_channel::Sender;
 use badgerwind::interface::*;
 use badgerwind_driver::{CallOff, Final, Output};
@@ -66,8 +67,8 @@
     Fetch,
 }
 
-/// How an attempt is called off, where it is, and what it is of.
-type Out = (Sender<CallOff>, WorkerId, Arc<Content>);
+/// How an attempt is called off, where it is, what it is of, and when it went out.
+type Out = (Sender<CallOff>, WorkerId, Arc<Content>, Time);
 
 /// Attempts out, and what was heard of those before.
 #[derive(Default)]
@@ -86,6 +87,7 @@
     pub metrics: Arc<Metrics>,
     pub attempts: Attempts,
     pub shares: Option<Arc<Shares>>,
+    pub zones: Option<Arc<Zones>>,
 }
 
 impl Backend for Dispatch {
@@ -110,7 +112,12 @@
                 }
             }
             Input::AttemptEnded { id, attempt, end } => {
-                if let Some((_, worker, content)) = self.attempts.out.remove(&(id.clone(), *attempt)) {
+                if let Some((_, worker, content, sent)) = self.attempts.out.remove(&(id.clone(), *attempt)) {
+                    if let Some(zones) = &self.zones {
+                        let aim = content.settings.router.classes.get(content.class).map_or(0, |c| c.aim);
+                        let late = aim > 0 && now > sent + aim;
+                        zones.ended(now, worker, end.outcome, sent, late);
+                    }
                     if tracing::enabled!(tracing::Level::DEBUG) {
                         let function = &content.settings.functions[content.function].name;
                         let what = format!("{}, {:?}", word(end.outcome), end.mark);
@@ -146,7 +153,7 @@
                     let known = self.attempts.known.tell(now, worker, function);
                     tracing::debug!(request = %id, attempt, worker, known, trace_id = %content.trace.trace, "attempt");
                 }
-                self.attempts.out.insert((id.clone(), attempt), (off, worker, content.clone()));
+                self.attempts.out.insert((id.clone(), attempt), (off, worker, content.clone(), now));
                 smol::spawn(async move {
                     let end = runners.attempt(&id, attempt, worker, &content, called_off, &report).await;
                     let _ = report.send(Input::AttemptEnded { id, attempt, end }).await;
--- a/crates/badgerwind-gateway/src/lib.rs
+++ b/crates/badgerwind-gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod serve;
 mod shares;
 mod trace;
+mod zones;
 
 pub use answers::{remembers, Kept};
 pub use platform::{serve_platform, PlatformError, PlatformOptions};
--- a/crates/badgerwind-gateway/src/metrics.rs
+++ b/crates/badgerwind-gateway/src/metrics.rs
@@ -40,6 +40,11 @@
     pub budget: String,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct ByZone {
+    pub zone: String,
+}
+
 /// All figures; cheap to update from any thread.
 #[derive(Debug)]
 pub(crate) struct Metrics {
@@ -67,6 +72,8 @@
     pub budget_refused: Family<ByBudget, Counter>,
     pub members_there: Gauge,
     pub keeper: Gauge,
+    pub zone_share: Family<ByZone, Gauge<f64, AtomicU64>>,
+    pub zone_moves: Family<ByZone, Gauge>,
 }
 
 impl Metrics {
@@ -98,6 +105,8 @@
             budget_refused: Family::default(),
             members_there: Gauge::default(),
             keeper: Gauge::default(),
+            zone_share: Family::default(),
+            zone_moves: Family::default(),
             registry: Registry::default(),
         };
         let r = &mut registry;
@@ -137,6 +146,13 @@
         let help = "Front ends taken to be there, this one among them; 0 without budgets";
         r.register("members_there", help, m.members_there.clone());
         r.register("budget_keeper", "1 while this front end is keeper of the budgets", m.keeper.clone());
+        let help = "Part of a zone's runners that this front end sends to; nothing where zones are not left";
+        r.register("zone_share", help, m.zone_share.clone());
+        r.register(
+            "zone_moves",
+            "Changes of a zone's stage that this front end knows of",
+            m.zone_moves.clone(),
+        );
         Metrics { registry, ..m }
     }
 
@@ -230,7 +246,11 @@
                     }
                     "/fleet" => match fleet() {
                         Some(value) => Response::new(200, "application/json", value.to_string().into_bytes()),
-                        None => Response::new(404, "text/plain", &b"the settings name no <budgets>\n"[..]),
+                        None => Response::new(
+                            404,
+                            "text/plain",
+                            &b"the settings name neither <budgets> nor <leaving>\n"[..],
+                        ),
                     },
                     _ => Response::new(404, "", Vec::new()),
                 };
--- a/crates/badgerwind-gateway/src/peers.rs
+++ b/crates/badgerwind-gateway/src/peers.rs
@@ -6,6 +6,7 @@
 
 use crate::dispatch::Input;
 use crate::shares::Shares;
+use crate::zones::Zones;
 use async_channel::Sender;
 use badgerwind_webhook::Key;
 use hmac::{Hmac, KeyInit, Mac};
@@ -15,6 +16,7 @@
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::Arc;
+use std::time::Duration;
 
 pub(crate) struct Peers {
     pub socket: Async<UdpSocket>,
@@ -50,6 +52,21 @@
     (bytes.len() <= MOST).then(|| (u32::from_be_bytes(*number), u64::from_be_bytes(*counter), bytes))
 }
 
+/// How often, and how long apart, an address that is in use is tried again.
+const BINDS: (u32, Duration) = (20, Duration::from_millis(50));
+
+/// Binds a socket for datagrams. Where a process that just died still held the address, or one that was being started had a
+/// copy of its descriptor for an instant, it is free a moment later.
+pub(crate) fn bind(address: SocketAddr) -> std::io::Result<UdpSocket> {
+    for _ in 1..BINDS.0 {
+        match UdpSocket::bind(address) {
+            Err(e) if e.kind() == std::io::ErrorKind::AddrInUse => std::thread::sleep(BINDS.1),
+            other => return other,
+        }
+    }
+    UdpSocket::bind(address)
+}
+
 impl Peers {
     /// Sends to one, or to all; what cannot be sent at once is lost, as datagrams are.
     pub(crate) fn tell(&self, to: Option<u32>, bytes: &[u8]) {
@@ -62,7 +79,12 @@
     }
 
     /// Hands on what comes, for ever.
-    pub(crate) async fn listen(&self, report: Sender<Input>, shares: Option<Arc<Shares>>) {
+    pub(crate) async fn listen(
+        &self,
+        report: Sender<Input>,
+        shares: Option<Arc<Shares>>,
+        zones: Option<Arc<Zones>>,
+    ) {
         let mut buf = [0u8; 512];
         let mut newest: HashMap<u32, u64> = HashMap::new();
         loop {
@@ -78,6 +100,9 @@
                 if shares.as_ref().is_some_and(|s| s.heard(from, bytes)) {
                     continue;
                 }
+                if zones.as_ref().is_some_and(|z| z.heard(from, bytes)) {
+                    continue;
+                }
                 if report.send(Input::Heard { from, bytes: bytes.to_vec() }).await.is_err() {
                     return;
                 }
@@ -91,6 +116,15 @@
     use super::*;
     use badgerwind_webhook::KeyKind;
 
+    #[test]
+    fn an_address_that_is_free_a_moment_later_is_bound() {
+        let held = UdpSocket::bind("127.0.0.1:0").unwrap();
+        let at = held.local_addr().unwrap();
+        let (bound, ()) = (std::thread::spawn(move || bind(at)), std::thread::sleep(BINDS.1 * 2));
+        drop(held);
+        assert_eq!(bound.join().unwrap().unwrap().local_addr().unwrap(), at);
+    }
+
     #[test]
     fn a_message_changed_in_any_byte_is_passed_over() {
         let key = Key::generate(KeyKind::Shared).unwrap();
--- a/crates/badgerwind-gateway/src/serve.rs
+++ b/crates/badgerwind-gateway/src/serve.rs
@@ -11,6 +11,7 @@
 use crate::runners::Runners;
 use crate::secrets::Secrets;
 use crate::shares::Shares;
+use crate::zones::Zones;
 use async_channel::{Receiver, Sender};
 use badgerwind::interface::WorkerEntry;
 use badgerwind::Router;
@@ -174,7 +175,9 @@
     let peers = match (&settings.peers, secrets.peers) {
         (Some(p), Some(key)) => {
             let failed = |error| ServeError::Listen { address: p.listen, error };
-            let socket = Async::<UdpSocket>::bind(p.listen).map_err(failed)?;
+            let address = p.listen;
+            let bound = smol::unblock(move || crate::peers::bind(address)).await;
+            let socket = bound.and_then(Async::<UdpSocket>::new).map_err(failed)?;
             let counter = AtomicU64::new(clock.now());
             let peers = p.peers.clone();
             Some(Arc::new(Peers { socket, key, number: set.my_number, peers, counter }))
@@ -184,10 +187,22 @@
     let shares = peers
         .as_ref()
         .and_then(|p| Shares::new(&settings, clock, p.clone(), report.clone(), metrics.clone()));
+    let zones = peers
+        .as_ref()
+        .and_then(|p| Zones::new(&settings, clock, p.clone(), runners.clone(), metrics.clone()));
     if let Some(peers) = peers.clone() {
-        let (report, shares) = (report.clone(), shares.clone());
-        tasks.push(smol::spawn(async move { peers.listen(report, shares).await }));
+        let (report, shares, zones) = (report.clone(), shares.clone(), zones.clone());
+        tasks.push(smol::spawn(async move { peers.listen(report, shares, zones).await }));
     }
+    // Where zones may be left, the list passes through there: one task tells the engine all that it hears of runners.
+    let lists = match zones.clone() {
+        Some(zones) => {
+            let (lists, listed) = async_channel::bounded(16);
+            tasks.push(smol::spawn(zones.run(listed, report.clone())));
+            lists
+        }
+        None => report.clone(),
+    };
     if let Some(shares) = shares.clone() {
         tasks.push(smol::spawn(shares.run()));
     }
@@ -198,7 +213,7 @@
         filter: list_filter,
         runners: runners.clone(),
         metrics: metrics.clone(),
-        report: report.clone(),
+        report: lists,
         calls: list_calls,
         listed: listed.clone(),
     };
@@ -215,6 +230,7 @@
         metrics: metrics.clone(),
         attempts: Default::default(),
         shares: shares.clone(),
+        zones: zones.clone(),
     };
     let engine = Engine { clock, inputs, control: controls, owed: owed.clone(), lag: lag.clone(), backend };
     let seed = if settings.seed == 0 { fastrand::u64(..) } else { settings.seed };
@@ -289,8 +305,15 @@
                 (200, "ready\n")
             }
         });
-        let told = shares.clone();
-        let fleet: metrics::FleetReport = Arc::new(move || told.as_ref().map(|s| s.report()));
+        let told = (shares.clone(), zones.clone());
+        let fleet: metrics::FleetReport = Arc::new(move || {
+            let (shares, zones) = &told;
+            if shares.is_none() && zones.is_none() {
+                return None;
+            }
+            let (shares, zones) = (shares.as_ref().map(|s| s.report()), zones.as_ref().map(|z| z.report()));
+            Some(serde_json::json!({ "shares": shares, "zones": zones }))
+        });
         tasks.push(smol::spawn(metrics::serve(listener, metrics, health, config, fleet)));
     }
     let accepting = smol::spawn(front.clone().listen(listener));
--- a/crates/badgerwind-settings/src/read.rs
+++ b/crates/badgerwind-settings/src/read.rs
@@ -158,6 +158,12 @@
         let what = "there are budgets and no <peers>".into();
         r.add(&root.or_default("budgets"), what, "add <peers>: front ends divide a whole by messages");
     }
+    let leaving = root.one("leaving").map(|l| leaving(r, &l, (&fleet, &rules), &zones));
+    if leaving.is_some() && (peers.is_none() || !allow.flag("probes")) {
+        let what = "zones are to be left, and there is no <peers> or probes are not allowed".into();
+        let right = "add <peers> and allow probes: front ends leave together, and return by probes";
+        r.add(&root.or_default("leaving"), what, right);
+    }
     let ask = list.text("discovery") == "ask";
     let report = root.one("report");
     let router = module::Settings {
@@ -237,6 +243,7 @@
         },
         peers,
         budgets,
+        leaving,
         control: root.one("control").map(|c| Control {
             name: c.string("name"),
             cluster: c.string("cluster"),
@@ -338,7 +345,42 @@
     }
 }
 
-/// `whole` gives fleet and rules; all that can be known beforehand to fail is found here.
+/// Front ends whose word counts, by number.
+fn voters(r: &mut Reading, of: &Checked<'_>, fleet: &Checked<'_>) -> Vec<u16> {
+    let voters = of.all("voter");
+    r.unique(&voters, "number");
+    for v in voters.iter().filter(|v| v.whole("number") >= fleet.whole("front-ends")) {
+        let what = format!("number {} is none of the fleet's", v.text("number"));
+        r.add(v, what, "name front ends from 0 to front-ends less one");
+    }
+    voters.iter().map(|v| v.whole("number") as u16).collect()
+}
+
+fn leaving(
+    r: &mut Reading,
+    l: &Checked<'_>,
+    (fleet, rules): (&Checked<'_>, &Checked<'_>),
+    zones: &[String],
+) -> Leaving {
+    if zones.len() < 2 || zones.len() > badgerwind_zones::ZONES {
+        let what = format!("there are {} zones", zones.len());
+        let right = format!("from 2 to {} zones can be left", badgerwind_zones::ZONES);
+        r.add(l, what, &right);
+    }
+    let paced = badgerwind_zones::Terms::paced(voters(r, l, fleet), l.span("beat"), rules.span("warm-after"));
+    let terms = badgerwind_zones::Terms {
+        least_left_lost: l.number("least-left"),
+        least_left: l.number("least-left").max(paced.least_left),
+        quiet: l.span("quiet"),
+        most_quiet: l.span("most-quiet").max(l.span("quiet")),
+        probers: l.size("probers"),
+        probes: l.size("probes"),
+        ..paced
+    };
+    Leaving { terms }
+}
+
+/// Fleet and rules come with it; all that can be known beforehand to fail is found here.
 fn budgets(
     r: &mut Reading,
     b: &Checked<'_>,
@@ -348,13 +390,7 @@
     let all = b.all("budget");
     r.unique(&all, "name");
     let names: Vec<String> = tenants.iter().map(|t| t.string("name")).collect();
-    let voters = b.all("voter");
-    r.unique(&voters, "number");
-    let front_ends = fleet.whole("front-ends");
-    for v in voters.iter().filter(|v| v.whole("number") >= front_ends) {
-        let what = format!("number {} is none of the fleet's", v.text("number"));
-        r.add(v, what, "name front ends from 0 to front-ends less one");
-    }
+    let (voters, front_ends) = (voters(r, b, fleet), fleet.whole("front-ends"));
     if front_ends > 65_535 {
         r.add(b, format!("{front_ends} front ends"), "budgets are divided among 65535 at most");
     }
@@ -373,7 +409,7 @@
         rest: one.span("window"),
     };
     let terms = badgerwind_budgets::Terms {
-        voters: voters.iter().map(|v| v.whole("number") as u16).collect(),
+        voters,
         vote: b.span("vote"),
         lease: b.span("lease"),
         beat: b.span("beat"),
--- a/crates/badgerwind-settings/src/schema.rs
+++ b/crates/badgerwind-settings/src/schema.rs
@@ -538,6 +538,24 @@
     ],
     children: &[some(&VOTER), some(&BUDGET)],
 };
+const LEAVING: Element = Element {
+    name: "leaving",
+    doc: "Front ends tell each other which zones answer them, leave one that does not together, and return step by step; needs <peers>.",
+    attrs: &[
+        or("beat", Kind::Time(1000, MINUTE), "100ms", "How often each tells the voters."),
+        or(
+            "least-left",
+            Kind::Number(0.0, 1.0),
+            "0.3",
+            "Part of all runners, by size, that stays in use whatever is lost.",
+        ),
+        or("quiet", Kind::Time(1000, HOUR), "2s", "A zone that was left is not tried before; doubled by each failed return."),
+        or("most-quiet", Kind::Time(1000, 24 * HOUR), "2min", "The longest such pause."),
+        or("probers", Kind::Whole(1, 64), "3", "Voters that probe a zone that was left."),
+        or("probes", Kind::Whole(1, 64), "2", "Runners that each of them probes in a beat."),
+    ],
+    children: &[some(&VOTER)],
+};
 const SERVICE: Element = Element {
     name: "service",
     doc: "A control service; the next one is asked where one fails.",
@@ -599,6 +617,7 @@
         one(&LIST),
         maybe(&PEERS),
         maybe(&BUDGETS),
+        maybe(&LEAVING),
         maybe(&CONTROL),
         maybe(&LOG),
         maybe(&METRICS),
--- a/crates/badgerwind-settings/src/typed.rs
+++ b/crates/badgerwind-settings/src/typed.rs
@@ -32,6 +32,8 @@
     pub peers: Option<Peers>,
     /// What the front ends divide among themselves.
     pub budgets: Option<Budgets>,
+    /// How a zone that fails is left.
+    pub leaving: Option<Leaving>,
     /// The control service.
     pub control: Option<Control>,
     /// The log.
@@ -268,6 +270,13 @@
     pub line: usize,
 }
 
+/// How a zone that fails is left, and returned to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Leaving {
+    /// On what terms.
+    pub terms: badgerwind_zones::Terms,
+}
+
 /// One whole.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Budget {
--- a/crates/badgerwind-settings/tests/documents.rs
+++ b/crates/badgerwind-settings/tests/documents.rs
@@ -149,6 +149,43 @@
     }
 }
 
+#[test]
+fn leaving_zones_is_read_with_its_terms_and_its_faults_are_named() {
+    let leaving = "<leaving beat=\"50ms\" quiet=\"1s\" least-left=\"0.4\"><voter number=\"0\"/><voter number=\"2\"/></leaving><budgets";
+    let text = budgeted().replacen("<budgets", leaving, 1);
+    let terms = read("s.xml", &text).unwrap().leaving.unwrap().terms;
+    assert_eq!((terms.voters.clone(), terms.beat, terms.quiet), (vec![0, 2], 50_000, 1_000_000));
+    assert_eq!((terms.least_left_lost, terms.most_quiet, terms.probers), (0.4, 120_000_000, 3));
+    for (from, to, want) in [
+        (
+            "<voter number=\"2\"/></leaving>",
+            "<voter number=\"9\"/></leaving>",
+            "number 9 is none of the fleet's",
+        ),
+        (
+            "<allow ",
+            "<allow probes=\"false\" ",
+            "zones are to be left, and there is no <peers> or probes are not allowed",
+        ),
+        (
+            "least-left=\"0.4\"",
+            "least-left=\"1.4\"",
+            "<leaving>: least-left is \"1.4\"; give a number from 0 to 1",
+        ),
+    ] {
+        assert!(text.contains(from), "{from}");
+        let got = read("s.xml", &text.replacen(from, to, 1)).expect_err(to);
+        assert!(got.iter().any(|p| p.to_string().contains(want)), "wanted {want}\ngot {got:#?}");
+    }
+    let (from, to) = (text.find("<zone ").unwrap(), text.rfind("<zone ").unwrap());
+    if from != to {
+        let end = to + text[to..].find("/>").unwrap() + 2;
+        let one = format!("{}{}", &text[..to], &text[end..]);
+        let got = read("s.xml", &one).expect_err("one zone");
+        assert!(got.iter().any(|p| p.to_string().contains("from 2 to 16 zones can be left")), "{got:#?}");
+    }
+}
+
 #[test]
 fn all_problems_come_at_once() {
     let text =
--- a/crates/badgerwind-standins/src/lib.rs
+++ b/crates/badgerwind-standins/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod model;
 pub mod platform;
 pub mod record;
+pub mod relay;
 pub mod runner;
 pub mod senders;
 pub mod share;
--- /dev/null
+++ b/crates/badgerwind-standins/src/relay.rs
@@ -0,0 +1,142 @@
+//! A link between two parties: connections pass through it, each direction as told. Silence leaves connections open; what was
+//! under way then is lost to both, as behind a switch that died.
+
+use async_channel::{Receiver, Sender};
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use smol::net::{TcpListener, TcpStream};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::Duration;
+
+/// How bytes of one direction fare.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Flow {
+    /// They pass.
+    #[default]
+    Open,
+    /// Each piece comes so much later.
+    Late(Duration),
+    /// Nothing passes, and nobody is told.
+    Silent,
+}
+
+/// How a link fares.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Link {
+    /// Towards the listener.
+    pub there: Flow,
+    /// Back.
+    pub back: Flow,
+    /// New connections are closed at once, and those that stand are broken.
+    pub broken: bool,
+}
+
+#[derive(Default)]
+struct Shared {
+    link: Link,
+    /// One for each direction of each connection: a change wakes them.
+    woken: Vec<Sender<()>>,
+}
+
+/// A running link. Ends with its handle.
+pub struct Relay {
+    /// Where it listens.
+    pub at: SocketAddr,
+    shared: Arc<Mutex<Shared>>,
+    _task: smol::Task<()>,
+}
+
+fn lock(shared: &Mutex<Shared>) -> std::sync::MutexGuard<'_, Shared> {
+    shared.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Relay {
+    /// A link to a listener.
+    pub async fn start(to: SocketAddr) -> std::io::Result<Relay> {
+        let listener = TcpListener::bind("127.0.0.1:0").await?;
+        let (at, shared) = (listener.local_addr()?, Arc::new(Mutex::new(Shared::default())));
+        let links = shared.clone();
+        let task = smol::spawn(async move {
+            let mut connections = Vec::new();
+            loop {
+                let Ok((near, _)) = listener.accept().await else { continue };
+                connections.retain(|c: &smol::Task<()>| !c.is_finished());
+                let links = links.clone();
+                // Dropped unasked, it closes at once: a broken link.
+                if !lock(&links).link.broken {
+                    connections.push(smol::spawn(lead(near, to, links)));
+                }
+            }
+        });
+        Ok(Relay { at, shared, _task: task })
+    }
+
+    /// From now on it fares like this.
+    pub fn set(&self, link: Link) {
+        let mut shared = lock(&self.shared);
+        shared.link = link;
+        shared.woken.retain(|w| !w.is_closed());
+        shared.woken.iter().for_each(|w| _ = w.try_send(())); // full: it is about to look anyway
+    }
+}
+
+async fn lead(near: TcpStream, to: SocketAddr, shared: Arc<Mutex<Shared>>) {
+    // Where nothing passes a connection does not come up either; the caller gives up by itself.
+    let far = loop {
+        let link = lock(&shared).link;
+        if link.broken {
+            return;
+        }
+        if link.there != Flow::Silent && link.back != Flow::Silent {
+            match TcpStream::connect(to).await {
+                Ok(far) => break far,
+                Err(_) => return,
+            }
+        }
+        smol::Timer::after(Duration::from_millis(5)).await;
+    };
+    let there = pass(near.clone(), far.clone(), |l| l.there, &shared);
+    let back = pass(far.clone(), near.clone(), |l| l.back, &shared);
+    // One side's end is the other's: these protocols have no half-closed connections.
+    there.or(back).await;
+    let _ = (near.shutdown(std::net::Shutdown::Both), far.shutdown(std::net::Shutdown::Both));
+}
+
+async fn pass(mut from: TcpStream, mut to: TcpStream, flow: fn(&Link) -> Flow, shared: &Mutex<Shared>) {
+    let (wake, woken): (Sender<()>, Receiver<()>) = async_channel::bounded(1);
+    lock(shared).woken.push(wake);
+    let mut buf = vec![0u8; 16 * 1024];
+    loop {
+        let link = lock(shared).link;
+        if link.broken {
+            return;
+        }
+        if flow(&link) == Flow::Silent {
+            // What comes is not read: the sender's own window fills, and it hears nothing.
+            if woken.recv().await.is_err() {
+                return;
+            }
+            continue;
+        }
+        let read = async { Some(from.read(&mut buf).await) };
+        let changed = async {
+            let _ = woken.recv().await;
+            None
+        };
+        let n = match read.or(changed).await {
+            None => continue,
+            Some(Ok(n)) if n > 0 => n,
+            Some(_) => return,
+        };
+        let link = lock(shared).link;
+        match flow(&link) {
+            Flow::Late(by) => _ = smol::Timer::after(by).await,
+            // It was under way when silence fell: nobody will have it.
+            Flow::Silent => continue,
+            Flow::Open => {}
+        }
+        if to.write_all(&buf[..n]).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/badgerwind-zones/src/evidence.rs
@@ -0,0 +1,164 @@
+//! What one front end saw of each zone on its own sockets: by executor, so that one bad executor with many calls is one bad
+//! executor. Bounded by the executors that are listed.
+
+use crate::{Executor, Flaw, Span, Time};
+use std::collections::BTreeMap;
+
+/// What an attempt, a connection or a probe showed of an executor.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sign {
+    /// It answered, whatever it said: it can be reached and works.
+    Heard,
+    /// It answered later than was wanted.
+    Late,
+    /// No answer came: no connection, a broken one, silence.
+    Lost,
+}
+
+/// So many spans a loss counts, unless something was heard since.
+const LOST_SPANS: Span = 8;
+
+/// An executor as it was seen of late.
+#[derive(Clone, Debug, Default)]
+struct Seen {
+    heard: Option<Time>,
+    late: Option<Time>,
+    lost: Option<Time>,
+    /// When what was lost last had gone out.
+    lost_sent: Time,
+    /// How often lost since it was heard; for a defect of the tests.
+    losses: u32,
+}
+
+/// Executors of a zone, by what was last seen of them within the span.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Sketch {
+    /// They answered in time.
+    pub heard: u16,
+    /// They answered late, and since then not in time.
+    pub late: u16,
+    /// They were lost, and since then not heard.
+    pub lost: u16,
+}
+
+impl Sketch {
+    /// Executors of which anything was seen.
+    pub fn seen(&self) -> u16 {
+        self.heard + self.late + self.lost
+    }
+}
+
+/// A front end's own evidence.
+#[derive(Clone, Debug, Default)]
+pub struct Evidence {
+    /// Zone and size by executor, as listed.
+    listed: BTreeMap<Executor, (usize, f64)>,
+    seen: BTreeMap<Executor, Seen>,
+    flaw: Option<Flaw>,
+}
+
+impl Evidence {
+    /// Nothing seen yet.
+    pub fn new() -> Evidence {
+        Evidence::default()
+    }
+
+    /// With a defect; for tests that show that it is found.
+    #[doc(hidden)]
+    pub fn with(mut self, flaw: Option<Flaw>) -> Evidence {
+        self.flaw = flaw;
+        self
+    }
+
+    /// The executors that are there now, with zone and size. What was seen of others is forgotten, as of those that moved.
+    pub fn listed(&mut self, all: impl IntoIterator<Item = (Executor, usize, f64)>) {
+        let next: BTreeMap<Executor, (usize, f64)> = all.into_iter().map(|(e, z, s)| (e, (z, s))).collect();
+        let old = std::mem::replace(&mut self.listed, next);
+        let stays = |e: &Executor| {
+            let (a, b) = (self.listed.get(e), old.get(e));
+            a.is_some() && a.map(|a| a.0) == b.map(|b| b.0)
+        };
+        self.seen.retain(|e, _| stays(e));
+    }
+
+    /// Zone by executor, and size.
+    pub fn executors(&self) -> impl Iterator<Item = (Executor, usize, f64)> + '_ {
+        self.listed.iter().map(|(e, (z, s))| (*e, *z, *s))
+    }
+
+    /// What went out to an executor then has ended.
+    pub fn saw(&mut self, now: Time, executor: Executor, sign: Sign, sent: Time) {
+        if !self.listed.contains_key(&executor) {
+            return;
+        }
+        let seen = self.seen.entry(executor).or_default();
+        match sign {
+            Sign::Heard => (seen.heard, seen.losses) = (Some(now), 0),
+            Sign::Late => (seen.late, seen.losses) = (Some(now), 0),
+            Sign::Lost => {
+                (seen.lost, seen.losses) = (Some(now), seen.losses + 1);
+                seen.lost_sent = sent;
+            }
+        }
+    }
+
+    /// An attempt that went out then was given up unanswered. Where the executor has answered something since, it works, and is
+    /// late; else it is silent.
+    pub fn unanswered(&mut self, now: Time, executor: Executor, sent: Time) {
+        let answered = self.seen.get(&executor).is_some_and(|s| s.heard.max(s.late) >= Some(sent));
+        self.saw(now, executor, if answered { Sign::Late } else { Sign::Lost }, sent);
+    }
+
+    /// What was seen of a zone: executors that answered within the span that ends now; or, where something went out after the
+    /// last answer of any of them and was lost, executors lost since. So a third that is bad is forgiven by each answer of the
+    /// others, and what was heard before a zone died does not hold up the news of it. What went out before a time counts
+    /// no more as lost.
+    pub fn sketch(&self, now: Time, zone: usize, span: Span, not_before: Time) -> Sketch {
+        let own = || self.seen.iter().filter(|(e, _)| self.listed.get(e).is_some_and(|l| l.0 == zone));
+        let answered = own().filter_map(|(_, s)| s.heard.max(s.late)).max().unwrap_or(0);
+        // A loss counts for longer than an answer: whoever lost an executor hardly asks it any more, and that is no good news.
+        let from = now.saturating_sub(span * LOST_SPANS);
+        let lost = |s: &&Seen| {
+            s.lost.is_some_and(|t| t >= from) && s.lost_sent >= not_before && s.lost_sent >= answered
+        };
+        let times =
+            |s: &Seen| if self.flaw == Some(Flaw::CountsCalls) { s.losses.clamp(1, 1000) as u16 } else { 1 };
+        let lost: u16 = own().map(|(_, s)| s).filter(lost).map(times).sum();
+        if lost > 0 {
+            return Sketch { heard: 0, late: 0, lost };
+        }
+        let from = now.saturating_sub(span).max(not_before);
+        let mut out = Sketch::default();
+        for (_, s) in own() {
+            let (heard, late) = (s.heard.filter(|t| *t >= from), s.late.filter(|t| *t >= from));
+            if late.is_some() && late > heard {
+                out.late += 1;
+            } else if heard.is_some() {
+                out.heard += 1;
+            }
+        }
+        out
+    }
+
+    /// How many executors each of so many zones has.
+    pub fn counts(&self, zones: usize) -> Vec<usize> {
+        let mut counts = vec![0; zones];
+        for (zone, _) in self.listed.values() {
+            if let Some(n) = counts.get_mut(*zone) {
+                *n += 1;
+            }
+        }
+        counts
+    }
+
+    /// The size of each of so many zones.
+    pub fn sizes(&self, zones: usize) -> Vec<f64> {
+        let mut sizes = vec![0.0; zones];
+        for (zone, size) in self.listed.values() {
+            if let Some(sum) = sizes.get_mut(*zone) {
+                *sum += size;
+            }
+        }
+        sizes
+    }
+}
--- /dev/null
+++ b/crates/badgerwind-zones/src/join.rs
@@ -0,0 +1,169 @@
+//! What front ends' words of a zone come to together. Wald's sequential test (1945) by executors seen, each front end's word
+//! bounded, the loudest left out on either side: one that sees much counts for more, and one that lies for no more than another.
+
+use crate::message::{ZoneDigest, ZoneTell};
+use crate::stages::Stage;
+use crate::{Flaw, Member, Terms, Time};
+use std::collections::BTreeMap;
+
+/// Share of executors that are lost in a zone that is only unwell.
+const UNWELL: f64 = 0.34;
+/// In one that is lost: some answers of before are still counted.
+const GONE: f64 = 0.95;
+/// A digest's figures are in this part of a nat.
+const PART: f64 = 64.0;
+/// Front ends whose full word decides; in small fleets all but the one left out.
+const ENOUGH: usize = 4;
+/// From so many on the loudest is left out on either side, and one more for each so many further.
+const TRIM: usize = 4;
+/// One in so many may lie.
+const LIARS: usize = 12;
+
+/// How much evidence one sketch gives that executors of a zone are gone rather than unwell, in nats.
+pub(crate) fn weight(bad: u16, good: u16) -> f64 {
+    f64::from(bad) * (GONE / UNWELL).ln() + f64::from(good) * ((1.0 - GONE) / (1.0 - UNWELL)).ln()
+}
+
+/// Evidence from which on it counts as proven.
+pub(crate) fn proven(terms: &Terms) -> f64 {
+    (1.0 / terms.false_alarm.clamp(1e-12, 0.5)).ln()
+}
+
+/// A front end's word of a zone with so many executors: all of them lost is proof where there are too few for the test.
+fn word(bad: u16, good: u16, listed: usize, terms: &Terms) -> f64 {
+    let most = weight(listed.clamp(1, usize::from(u16::MAX)) as u16, 0);
+    weight(bad, good) * (proven(terms) / most).max(1.0)
+}
+
+/// What is joined of one zone.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Joined {
+    /// Evidence that it is lost, in nats.
+    pub lost: f64,
+    /// That it is late.
+    pub late: f64,
+    /// Front ends that hear it.
+    pub hearing: usize,
+    /// Front ends that told.
+    pub members: usize,
+}
+
+/// A voter's table of what it was told.
+#[derive(Clone, Debug)]
+pub struct Joiner {
+    zones: usize,
+    told: BTreeMap<Member, (Time, u32, Vec<ZoneTell>)>,
+    flaw: Option<Flaw>,
+}
+
+impl Joiner {
+    /// Told nothing yet.
+    pub fn new(zones: usize) -> Joiner {
+        Joiner { zones, told: BTreeMap::new(), flaw: None }
+    }
+
+    /// With a defect; for tests that show that it is found.
+    #[doc(hidden)]
+    pub fn with(mut self, flaw: Option<Flaw>) -> Joiner {
+        self.flaw = flaw;
+        self
+    }
+
+    /// A front end has told. One of before, or of another number of zones, changes nothing.
+    pub fn told(&mut self, now: Time, from: Member, serial: u32, zones: &[ZoneTell], terms: &Terms) -> bool {
+        self.told.retain(|_, t| t.0 + terms.span > now);
+        let old = self.told.get(&from).is_some_and(|t| t.1 >= serial);
+        if old || zones.len() != self.zones {
+            return false;
+        }
+        self.told.insert(from, (now, serial, zones.to_vec()));
+        true
+    }
+
+    /// Words left out on either side.
+    fn trim(&self, n: usize) -> usize {
+        match n {
+            _ if self.flaw == Some(Flaw::NoTrim) => 0,
+            0..TRIM => 0,
+            n => 1 + n / LIARS,
+        }
+    }
+
+    /// Words of one kind, joined, of so many front ends that told at all. Those that saw nothing have none; that they are there
+    /// still means that one word alone is not enough.
+    fn sum(&self, terms: &Terms, members: usize, mut words: Vec<f64>) -> f64 {
+        let trim = self.trim(words.len());
+        let full = match members {
+            0 | 1 => 1,
+            2 | 3 => 2,
+            n => n.saturating_sub(2 * self.trim(n)).clamp(2, ENOUGH),
+        };
+        let bound = proven(terms) / full as f64;
+        if self.flaw != Some(Flaw::UnboundedWord) {
+            words.iter_mut().for_each(|w| *w = w.clamp(-bound, bound));
+        }
+        words.sort_by(f64::total_cmp);
+        words[trim..words.len() - trim].iter().sum()
+    }
+
+    /// What is known of a zone with so many executors.
+    pub fn joined(&self, now: Time, zone: usize, listed: usize, terms: &Terms) -> Joined {
+        let fresh = self.told.values().filter(|t| t.0 + terms.span > now).filter_map(|t| t.2.get(zone));
+        let fresh: Vec<&ZoneTell> = fresh.collect();
+        // Who saw nothing has no word; it must not be the one that is left out.
+        let words: Vec<f64> = fresh
+            .iter()
+            .filter(|t| t.lost + t.heard + t.late > 0)
+            .map(|t| word(t.lost, t.heard.saturating_add(t.late), listed, terms))
+            .collect();
+        let late: Vec<f64> = fresh
+            .iter()
+            .filter(|t| t.heard + t.late > 0)
+            .map(|t| word(t.late, t.heard, listed, terms))
+            .collect();
+        Joined {
+            lost: self.sum(terms, fresh.len(), words),
+            late: self.sum(terms, fresh.len(), late),
+            hearing: fresh.iter().filter(|t| t.heard + t.late > t.lost).count(),
+            members: fresh.len(),
+        }
+    }
+
+    /// The newest stage that more than one front end has, so that one alone moves nobody.
+    fn newest(&self, zone: usize) -> (u16, Stage, u8) {
+        let mut all: Vec<(u16, Stage, u8)> = self
+            .told
+            .values()
+            .filter_map(|t| t.2.get(zone))
+            .map(|z| (z.generation, z.stage, z.failed))
+            .collect();
+        all.sort_by_key(|a| std::cmp::Reverse((a.0, a.1.severity())));
+        let alone = self.flaw == Some(Flaw::LoneStage);
+        let at = if alone { 0 } else { self.trim(all.len()).max(1) };
+        if all.len() == 1 {
+            all[0]
+        } else {
+            all.get(at).copied().unwrap_or_default()
+        }
+    }
+
+    /// The answer to who told.
+    pub fn digest(&self, now: Time, listed: &[usize], terms: &Terms) -> (u16, Vec<ZoneDigest>) {
+        let mut members = 0;
+        let one = |zone: usize| {
+            let j = self.joined(now, zone, listed.get(zone).copied().unwrap_or(1), terms);
+            members = members.max(j.members);
+            let (generation, stage, failed) = self.newest(zone);
+            let part = |x: f64| (x * PART).clamp(f64::from(i16::MIN), f64::from(i16::MAX)) as i16;
+            let hearing = j.hearing.min(usize::from(u16::MAX)) as u16;
+            ZoneDigest { lost: part(j.lost), late: part(j.late), hearing, generation, stage, failed }
+        };
+        let zones = (0..self.zones).map(one).collect();
+        (members.min(usize::from(u16::MAX)) as u16, zones)
+    }
+}
+
+/// A digest's figure in nats.
+pub(crate) fn nats(figure: i16) -> f64 {
+    f64::from(figure) / PART
+}
