Budgets follow the quotas that run; a link of the stand-ins keeps no wakers of the dead

Seen on reading the change again: shares.rs kept the settings of its start, so that a version from the control service that changed a tenant's quota, or the order of tenants, left the module with parts of the old one (control.rs, apply: only zones were told). Now settings that run are handed on; what owns which unit stays. relay.rs dropped wakers of ended connections only when a link changed; it does at each new connection.

Shown: a unit test of parts under two quotas; tests shares, zones and config_stream green.

--- a/crates/badgerwind-gateway/src/control.rs
+++ b/crates/badgerwind-gateway/src/control.rs
@@ -7,6 +7,7 @@
 use crate::front::{Front, Rules};
 use crate::runners::Runners;
 use crate::secrets;
+use crate::shares::Shares;
 use crate::zones::Zones;
 use async_channel::{Receiver, Sender};
 use badgerwind::interface::WorkerEntry;
@@ -88,6 +89,8 @@
     pub front: Arc<Front>,
     pub runners: Arc<Runners>,
     pub engine: Sender<Control>,
+    /// Who divides tenants' quotas.
+    pub shares: Option<Arc<Shares>>,
     /// Who takes an operator's words of zones over.
     pub zones: Option<Arc<Zones>>,
     /// The runners as listed, for the shadow.
@@ -270,6 +273,9 @@
                 let Ok(number) = wait.recv().await else { return };
                 module = number;
             }
+            if let Some(shares) = &me.shares {
+                shares.follow(&settings);
+            }
             if let (Some(zones), Some(leaving)) = (&me.zones, &settings.leaving) {
                 zones.change(leaving);
             }
--- a/crates/badgerwind-gateway/src/serve.rs
+++ b/crates/badgerwind-gateway/src/serve.rs
@@ -293,6 +293,7 @@
             front: front.clone(),
             runners: runners.clone(),
             engine: control.clone(),
+            shares: shares.clone(),
             zones: zones.clone(),
             listed,
             report: config.clone(),
--- a/crates/badgerwind-gateway/src/shares.rs
+++ b/crates/badgerwind-gateway/src/shares.rs
@@ -31,6 +31,8 @@
 
 struct State {
     budgets: Budgets,
+    /// Whose quotas the tenants' budgets divide.
+    router: RouterSettings,
     node: Node,
     members: Members,
     here: Vec<Here>,
@@ -42,8 +44,6 @@
 pub(crate) struct Shares {
     clock: Clock,
     peers: Arc<Peers>,
-    /// Whose quotas the tenants' budgets divide.
-    router: RouterSettings,
     report: Sender<Input>,
     metrics: Arc<Metrics>,
     state: Mutex<State>,
@@ -70,9 +70,9 @@
             logged: (0, 0, 0),
         };
         let here = budgets.book.wholes.iter().zip(&budgets.budgets).map(here).collect();
-        let state = Mutex::new(State { budgets, node, members, here, told: None, rng, keeper: None });
         let router = settings.router.clone();
-        Some(Arc::new(Shares { clock, peers, router, report, metrics, state }))
+        let state = Mutex::new(State { budgets, router, node, members, here, told: None, rng, keeper: None });
+        Some(Arc::new(Shares { clock, peers, report, metrics, state }))
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -94,6 +94,17 @@
         Ok(())
     }
 
+    /// Other settings run: quotas may differ, and tenants stand at other places. What owns which unit stays as it is.
+    pub(crate) fn follow(&self, settings: &Settings) {
+        let mut state = self.state();
+        state.router = settings.router.clone();
+        let Some(next) = &settings.budgets else { return };
+        let names = |b: &Budgets| b.budgets.iter().map(|b| b.name.clone()).collect::<Vec<_>>();
+        if names(next) == names(&state.budgets) {
+            state.budgets.budgets = next.budgets.clone();
+        }
+    }
+
     /// Whether a load order may go out: a unit is spent if so.
     pub(crate) fn order(&self) -> bool {
         let mut state = self.state();
@@ -117,19 +128,11 @@
         let mut state = self.state();
         let of = BudgetOf::Tenant(tenant);
         let Some(n) = state.budgets.budgets.iter().position(|b| b.of == of) else { return };
-        let units = self.units_of_a_call(&state, n, tenant);
+        let units = units_of_a_call(&state, n, tenant);
         let now = self.clock.now();
         state.here[n].demand.asked(now, units);
     }
 
-    /// A call's part of a tenant's quota within the window, in units.
-    fn units_of_a_call(&self, state: &State, n: usize, tenant: usize) -> f64 {
-        let whole = &state.budgets.book.wholes[n];
-        let quota = self.router.tenants.get(tenant).and_then(|t| t.quota_per_s).unwrap_or(0.0);
-        let calls = quota * whole.rest as f64 / 1e6;
-        f64::from(whole.units) / calls.max(1e-9)
-    }
-
     /// Bytes from another front end; false where they are not for the budgets.
     pub(crate) fn heard(&self, from: u32, bytes: &[u8]) -> bool {
         let Ok(from) = Member::try_from(from) else { return false };
@@ -170,7 +173,7 @@
     fn tick(&self, pace: Duration) -> Option<Parts> {
         let mut state = self.state();
         let now = self.clock.now();
-        let State { budgets, node, members, here, told, rng, keeper } = &mut *state;
+        let State { budgets, router, node, members, here, told, rng, keeper } = &mut *state;
         let words = members.tick(now, &mut |n| rng.random_range(0..n.max(1)));
         let there = members.there();
         for (n, (here, whole)) in here.iter_mut().zip(&budgets.book.wholes).enumerate() {
@@ -202,7 +205,7 @@
         self.metrics.keeper.set(i64::from(node.reigns(now)));
         // What will still count when the module is told next: a lease that ends before is not promised to it.
         let at = now + pace.as_micros() as Time;
-        let parts = parts(budgets, node, at, &self.router);
+        let parts = parts(budgets, node, at, router);
         let news = told.as_ref() != Some(&parts);
         *told = Some(parts.clone());
         drop(state);
@@ -295,6 +298,14 @@
     }
 }
 
+/// A call's part of a tenant's quota within the window, in units.
+fn units_of_a_call(state: &State, n: usize, tenant: usize) -> f64 {
+    let whole = &state.budgets.book.wholes[n];
+    let quota = state.router.tenants.get(tenant).and_then(|t| t.quota_per_s).unwrap_or(0.0);
+    let calls = quota * whole.rest as f64 / 1e6;
+    f64::from(whole.units) / calls.max(1e-9)
+}
+
 fn parts(budgets: &Budgets, node: &Node, at: Time, router: &RouterSettings) -> Parts {
     let mut parts = Parts { orders: None, tenants: vec![None; router.tenants.len()] };
     for (n, (b, whole)) in budgets.budgets.iter().zip(&budgets.book.wholes).enumerate() {
@@ -311,3 +322,31 @@
     }
     parts
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use badgerwind_budgets::{Book, Terms, Whole};
+    use badgerwind_settings::Budget;
+
+    #[test]
+    fn a_part_is_of_the_quota_that_runs_now() {
+        let mut router =
+            badgerwind_settings::read("s.xml", include_str!("../../badgerwind-settings/tests/example.xml"))
+                .unwrap()
+                .router;
+        let whole = Whole { units: 10, floor: 5, members: 1, rest: 1_000 };
+        let book = Book { version: 1, wholes: vec![whole] };
+        let (lease, beat) = (3_000, 1_000);
+        let terms = Terms { voters: vec![0], vote: 1_000, lease, beat, drift: 0, moves: 64 };
+        let node = Node::new(0, (0, 1), book.clone(), terms.clone(), 0.0);
+        let brolga = Budget { name: "brolga".into(), of: BudgetOf::Tenant(0) };
+        let budgets = Budgets { terms, book, budgets: vec![brolga], line: 1 };
+        // A floor of half the units; right after the start it rests for a window.
+        for (quota, at, part) in [(40.0, 0, 0.0), (40.0, 5_000, 20.0), (90.0, 5_000, 45.0)] {
+            router.tenants[0].quota_per_s = Some(quota);
+            let told = parts(&budgets, &node, at, &router);
+            assert_eq!((told.tenants[0], told.orders), (Some(part), None));
+        }
+    }
+}
--- a/crates/badgerwind-standins/src/relay.rs
+++ b/crates/badgerwind-standins/src/relay.rs
@@ -104,7 +104,12 @@
 
 async fn pass(mut from: TcpStream, mut to: TcpStream, flow: fn(&Link) -> Flow, shared: &Mutex<Shared>) {
     let (wake, woken): (Sender<()>, Receiver<()>) = async_channel::bounded(1);
-    lock(shared).woken.push(wake);
+    {
+        // Those of connections that have ended go: what is kept is bounded by what stands.
+        let mut shared = lock(shared);
+        shared.woken.retain(|w| !w.is_closed());
+        shared.woken.push(wake);
+    }
     let mut buf = vec![0u8; 16 * 1024];
     loop {
         let link = lock(shared).link;
