--- a/crates/badgerwind-config/src/waves.rs
+++ b/crates/badgerwind-config/src/waves.rs
@@ -10,6 +10,7 @@
 use crate::wire::Health;
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, BTreeSet};
+use std::hash::Hasher;
 use std::sync::Arc;
 
 /// Microseconds of a monotonic clock.
@@ -269,6 +270,8 @@
 
 /// FNV-1a of a name and a number: another first share for each version, and the same one after a restart.
 fn mix(id: &str, version: u64) -> u64 {
-    let bytes = id.bytes().chain(version.to_le_bytes());
-    bytes.fold(0xcbf2_9ce4_8422_2325, |h, b| (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3))
+    let mut h = fnv::FnvHasher::default();
+    h.write(id.as_bytes());
+    h.write(&version.to_le_bytes());
+    h.finish()
 }
--- /dev/null
+++ b/crates/badgerwind-horizon/tests/search.rs
@@ -0,0 +1,60 @@
+//! The greedy search beside brute force, and what it loads and drops for.
+
+use badgerwind_horizon::{cost, plan, Horizon};
+
+fn horizon(rate: f64, warm: f64, delay: usize) -> Horizon {
+    Horizon {
+        arrivals: vec![rate; delay + 4],
+        warm,
+        lanes: 1.0,
+        service: 1.0,
+        delay,
+        cold_pain: 0.9,
+        wait_pain: 0.2,
+        load_cost: 0.3,
+        most: 16.0,
+        ..Horizon::default()
+    }
+}
+
+#[test]
+fn the_greedy_search_is_close_to_brute_force_on_small_cases() {
+    for rate in [0.0, 0.2, 0.5, 1.0, 2.0] {
+        for warm in [0.0, 1.0, 3.0] {
+            let h = horizon(rate, warm, 2);
+            let mut best = f64::INFINITY;
+            for code in 0..4u32.pow(4) {
+                let x: Vec<u32> = (0..6).map(|k| if k < 4 { code / 4u32.pow(k) % 4 } else { 0 }).collect();
+                best = best.min(cost(&h, &x, 0));
+            }
+            let (loads, drops) = plan(&h);
+            assert!(loads == 0 || drops == 0, "never both");
+            // The first step of the plan, completed in the best way, costs little more than the best plan.
+            let mut ours = f64::INFINITY;
+            for code in 0..4u32.pow(3) {
+                let x: Vec<u32> = (0..6)
+                    .map(|k| {
+                        if k == 0 {
+                            loads
+                        } else if k < 4 {
+                            code / 4u32.pow(k - 1) % 4
+                        } else {
+                            0
+                        }
+                    })
+                    .collect();
+                ours = ours.min(cost(&h, &x, 0));
+            }
+            assert!(ours <= best + 0.1 * best.abs() + 0.05, "rate {rate} warm {warm}: {ours} against {best}");
+        }
+    }
+}
+
+#[test]
+fn the_search_loads_for_need_and_drops_only_for_a_reward() {
+    assert!(plan(&horizon(1.5, 0.0, 2)).0 > 0);
+    assert_eq!(plan(&horizon(0.0, 2.0, 2)).0, 0);
+    let mut h = horizon(0.0, 2.0, 2);
+    h.drop_reward = 1.0;
+    assert!(plan(&h).1 > 0);
+}
--- a/crates/badgerwind-zones/src/node.rs
+++ b/crates/badgerwind-zones/src/node.rs
@@ -6,6 +6,7 @@
 use crate::stages::{Belief, Stage, Stages, Standing, Word};
 use crate::{Executor, Flaw, Member, Terms, Time};
 use std::collections::BTreeMap;
+use std::hash::Hasher;
 
 /// Executors that one front end must have lost, and heard none, to stop sending to a zone by its own word alone.
 const ALONE: u16 = 4;
@@ -43,10 +44,10 @@
 
 /// A number that differs by pair, the same at each start: FNV-1a over both.
 fn mix(a: u64, b: u64) -> f64 {
-    let mut h = 0xcbf2_9ce4_8422_2325u64;
-    for byte in a.to_be_bytes().into_iter().chain(b.to_be_bytes()) {
-        h = (h ^ u64::from(byte)).wrapping_mul(0x0100_0000_01b3);
-    }
+    let mut hasher = fnv::FnvHasher::default();
+    hasher.write(&a.to_be_bytes());
+    hasher.write(&b.to_be_bytes());
+    let mut h = hasher.finish();
     h ^= h >> 32;
     h = h.wrapping_mul(0x9e37_79b9_7f4a_7c15);
     (h >> 11) as f64 / (1u64 << 53) as f64
--- a/crates/badgerwind/src/lib.rs
+++ b/crates/badgerwind/src/lib.rs
@@ -2,9 +2,17 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
-pub mod choice;
+mod choose;
+mod dispatch;
+mod events;
+mod homes;
 pub mod interface;
+mod learn;
+mod message;
+mod orders;
+mod router;
+mod shares;
 mod state;
+mod sweep;
 
-pub use choice::Router;
-pub use state::Horizon;
+pub use router::Router;
--- a/crates/badgerwind/src/state.rs
+++ b/crates/badgerwind/src/state.rs
@@ -1,6 +1,7 @@
 //! The router's memory: plain records and their bookkeeping. Nothing is decided here, nothing is tuned.
 
 use crate::interface::*;
+pub(crate) use badgerwind_health::Health;
 use std::collections::{BTreeMap, VecDeque};
 
 /// A sum that is forgotten exponentially.
@@ -56,11 +57,6 @@
     }
 }
 
-/// A worker's name in a message.
-pub(crate) fn short(worker: WorkerId) -> [u8; 2] {
-    ((worker ^ (worker >> 16)) as u16).to_be_bytes()
-}
-
 /// Times of something done lately.
 #[derive(Debug, Default)]
 pub(crate) struct Recent(VecDeque<Time>);
@@ -87,19 +83,6 @@
     Class(usize),
 }
 
-/// What is known of the health of a worker, or of a kind of traffic there.
-#[derive(Debug, Default)]
-pub(crate) struct Health {
-    /// Running share of failures.
-    pub fails: f64,
-    /// Taken out; tried again from `retry_at` on.
-    pub tripped: bool,
-    pub retry_at: Time,
-    pub backoff: Span,
-    /// Last sign of life.
-    pub heard: Time,
-}
-
 /// A worker, as listed and as seen.
 #[derive(Debug, Default)]
 pub(crate) struct Worker {
@@ -150,6 +133,11 @@
         self.born = e.born.or(self.born);
         restarted
     }
+    /// Books an attempt that ended well, and the most of them a second.
+    pub(crate) fn bore(&mut self, now: Time, keep: f64) {
+        self.served.add(now, keep, 1e6 / keep);
+        self.borne = self.borne.max(self.served.get(now, keep) / self.size.max(0.01));
+    }
     /// Whether it shares the keys that it has seen with another.
     pub(crate) fn drops_repeats(&self, other: &Worker, group: Group) -> bool {
         match group {
@@ -273,6 +261,24 @@
     pub lag: Span,
     pub mark: CopyMark,
     pub crowd: Option<u32>,
+    /// Own attempts for the function there before it, and time since it was sent by this clock.
+    pub own: u32,
+    pub waited: Span,
+}
+
+/// What the end of a load order says.
+#[derive(Clone, Copy)]
+pub(crate) struct Loaded {
+    pub outcome: Outcome,
+    pub copies: u32,
+    pub lag: Span,
+}
+
+/// What to do with a request now.
+pub(crate) enum Choice {
+    Send(WorkerId),
+    Load(WorkerId),
+    Wait,
 }
 
 /// A request that is not forgotten yet.
@@ -348,6 +354,39 @@
 }
 
 impl Memory {
+    /// Takes a list in. `limit` is the most own attempts at a worker that has just started.
+    pub(crate) fn listed(&mut self, now: Time, kind: ListKind, entries: Vec<WorkerEntry>, limit: f64) {
+        self.list += 1;
+        if matches!(kind, ListKind::Whole | ListKind::Cached) {
+            self.workers.values_mut().for_each(|w| (w.ready, w.gone) = (false, true));
+        }
+        for e in entries {
+            let w = self.workers.entry(e.worker).or_insert_with(|| Worker::new(&e, now, limit));
+            let restarted = w.listed(&e);
+            if restarted {
+                (w.cold_at, w.cold_sends) = (e.born.max(w.cold_at), 0);
+                (w.whole, w.limit) = (Health::default(), limit);
+            }
+            if restarted || e.availability == Availability::Gone {
+                self.forget_copies(e.worker, now);
+            }
+        }
+    }
+    /// The place of a function not known before.
+    pub(crate) fn named(&mut self, r: &Request, load: f64, step: Span) -> usize {
+        let (name, class) = (r.function.clone(), r.class);
+        let place = self.free.pop().unwrap_or(self.functions.len());
+        self.names.insert(name.clone(), place);
+        self.functions.resize_with(self.functions.len().max(place + 1), Function::default);
+        self.functions[place] = Function { name, class, load, step, ..Function::default() };
+        place
+    }
+    /// Books a belief proven false; how many there are since `from`, and on how many workers.
+    pub(crate) fn surprise(&mut self, now: Time, worker: WorkerId, from: Time) -> (usize, bool) {
+        self.surprises.push_back((now, worker));
+        self.surprises.retain(|s| s.0 >= from);
+        (self.surprises.len(), self.surprises.iter().any(|s| s.1 != worker))
+    }
     pub(crate) fn ready(&self) -> impl Iterator<Item = &Worker> {
         self.workers.values().filter(|w| w.ready)
     }
@@ -444,65 +483,18 @@
     }
 }
 
-/// A number in 0..1 that depends on the function and the worker alone.
-pub(crate) fn unit_hash(name: &str, worker: WorkerId) -> f64 {
-    let seed = name.bytes().fold(0xcbf2_9ce4_8422_2325_u64, |h, b| {
-        (h ^ u64::from(b)).wrapping_mul(0x100_0000_01b3) // FNV-1a
-    });
-    let mut h = seed ^ u64::from(worker).wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    h = (h ^ (h >> 31)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    h = (h ^ (h >> 29)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    ((h ^ (h >> 32)) >> 11) as f64 / (1u64 << 53) as f64
-}
-
-/// A function's outlook over the horizon, in steps; Greek letters are the paper's.
-#[derive(Clone, Debug, Default)]
-pub struct Horizon {
-    /// λ: expected own arrivals in each step.
-    pub arrivals: Vec<f64>,
-    /// q: requests held now.
-    pub queue: f64,
-    /// w: warm copies now.
-    pub warm: f64,
-    /// Copies that become ready, in each step, from orders in hand.
-    pub change: Vec<f64>,
-    /// Lanes taken by other front ends' requests.
-    pub foreign: f64,
-    /// Lanes of a copy.
-    pub lanes: f64,
-    /// L_warm in steps.
-    pub service: f64,
-    /// D: steps from an order to a warm copy.
-    pub delay: usize,
-    /// α(L_cold + L_warm): worth lost by a request that meets no warm lane.
-    pub cold_pain: f64,
-    /// βL_warm: worth lost by a request that queues for a step.
-    pub wait_pain: f64,
-    /// δ: cost of a load.
-    pub load_cost: f64,
-    /// η: reward of a drop.
-    pub drop_reward: f64,
-    /// wmax: most copies.
-    pub most: f64,
-    /// x of the step before.
-    pub last_loads: f64,
+/// When the lane frees that serves the one with so many `ahead` of it: each serves one and is taken for `each` more.
+pub(crate) fn turn(mut frees: Vec<f64>, ahead: usize, each: f64) -> f64 {
+    let mut wait = f64::INFINITY;
+    for _ in 0..=ahead {
+        let Some(n) = (0..frees.len()).min_by(|&a, &b| frees[a].total_cmp(&frees[b])) else { break };
+        wait = frees[n];
+        frees[n] += each;
+    }
+    wait
 }
 
 /// Moves a running mean towards a sample; the first sample is taken whole.
 pub(crate) fn blend(mean: &mut f64, sample: f64, gain: f64) {
     *mean += if *mean == 0.0 { sample } else { gain * (sample - *mean) };
 }
-
-/// The least-squares coefficient of a shape in a series, and the mean power it accounts for.
-pub(crate) fn fit(series: &[f64], shape: impl Fn(f64) -> f64) -> (f64, f64) {
-    let (mut dot, mut norm) = (0.0, 0.0);
-    for (i, y) in series.iter().enumerate() {
-        let b = shape(i as f64);
-        (dot, norm) = (dot + y * b, norm + b * b);
-    }
-    if norm > 0.0 {
-        (dot / norm, dot * dot / norm / series.len() as f64)
-    } else {
-        (0.0, 0.0)
-    }
-}
