Judge of load orders: one that went out before the window may come within it

The front ends' own times keep the ration; the runner wrote the window's first order 0.04 to 7.9 ms inside it, and with 60 ms less of window 380 or fewer count. Ruled out: a wrong count of calls (as many taken as sent), restarts (none of these front ends was killed). Wrong: judge.rs, loads: calls were granted the transit between two writers, orders were not.

--- a/crates/badgerwind-check/src/judge.rs
+++ b/crates/badgerwind-check/src/judge.rs
@@ -500,7 +500,8 @@
                     if window == 0 {
                         continue;
                     }
-                    own.retain(|&at| at + window > line.at);
+                    // One that went out before the window may have come to its runner within it.
+                    own.retain(|&at| at + window > line.at + self.facts.transit);
                     let from = line.at.saturating_sub(window + self.facts.transit);
                     let calls = taken.get(front).map_or(0, |t| t.iter().filter(|&&at| at >= from).count());
                     let most = free + share * calls as f64;
