Calls share standing connections while these hold; busy executors are not taken for vanished

Ruled out: idle closes (none), tables that turned away (a tenth), probes (none are sent). Wrong: platform/src/reach.rs, Reach::new (a fixed 0.5 s of silence where half of all answers take longer); gateway/platform/executors.rs, put (a connection for each call while descriptors last).

Change: Patience learns how long executors leave calls without a word; Sharing lets calls go together while connections hold, apart after a break, and calls that must not run twice only after 75 calls without one.

--- a/crates/badgerwind-cli/tests/platform/life.rs
+++ b/crates/badgerwind-cli/tests/platform/life.rs
@@ -106,6 +106,54 @@
     assert_eq!(rig.ended(), Some(0));
 }
 
+/// The web servers notice late: for up to 0.4 s they still connect, and for 0.2 s more they ask on what is open.
+#[test]
+fn what_still_comes_after_sigterm_is_taken_and_answered() {
+    let slow = Duration::from_millis(700);
+    let mut rig = Rig::start(vec![Box::new(move |s| match s.word.as_str() {
+        "FN" => vec![Do::Wait(slow), Do::Write(hit(s))],
+        _ => well(s),
+    })]);
+    let mut before = rig.web();
+    before.ask(1, &Ask::new(1)).unwrap();
+    assert!(until(|| rig.executors[0].words("FN").len() == 1));
+    rig.signal("-TERM");
+    let since = Instant::now();
+    let at = |ms| std::thread::sleep(Duration::from_millis(ms).saturating_sub(since.elapsed()));
+    at(150);
+    before.ask(2, &Ask::new(2)).unwrap();
+    at(350);
+    let mut new = rig.web();
+    new.ask(1, &Ask::new(3)).unwrap();
+    at(550);
+    // On a machine so busy that this came later than requests still come, nothing is owed.
+    let owed = since.elapsed() < Duration::from_millis(700);
+    new.ask(2, &Ask::new(4)).unwrap();
+    let answered = [before.answer(), before.answer(), new.answer()].map(|a| a.unwrap().status);
+    assert_eq!(answered, [200; 3]);
+    let last = new.answer().map(|a| a.status);
+    assert!(matches!(last, Ok(200)) || !owed, "{last:?}");
+    assert_eq!(rig.ended(), Some(0));
+}
+
+/// What the board would have told while it is silent counts as told 4 s later: it must have been asked anew by then.
+#[test]
+fn a_drain_told_while_the_board_is_silent_is_kept_four_seconds_later() {
+    let rig = Rig::start(vec![Box::new(well), Box::new(well)]);
+    assert!(until(|| !rig.board.asked().is_empty()));
+    rig.board.mood(Mood::Silent);
+    rig.board.tell(&[record(id(0), rig.executors[0].address, DRAINING)]);
+    assert!(until(|| rig.board.asked().len() > 1), "silence is noticed");
+    // The connection that was made anew is served, as the network page has it.
+    rig.board.mood(Mood::Well);
+    std::thread::sleep(Duration::from_millis(4000));
+    let before = rig.executors[0].words("FN").len();
+    for n in 0..60 {
+        assert_eq!(rig.call(&Ask { key: format!("{n:016x}"), ..Ask::new(100 + n) }).status, 200);
+    }
+    assert_eq!(rig.executors[0].words("FN").len(), before, "nothing goes to one that drains");
+}
+
 #[test]
 fn a_configuration_that_cannot_be_used_is_told_by_its_place() {
     let folder = tempfile::tempdir().unwrap();
--- a/crates/badgerwind-cli/tests/platform/terms.rs
+++ b/crates/badgerwind-cli/tests/platform/terms.rs
@@ -1,9 +1,13 @@
 //! The file by which the whole fleet's test builds and starts the program, and the terms of that test that can be seen from
 //! outside: one process, linked dynamically against the C library, no Unix sockets, no ring of system calls.
 
-use crate::rig::Rig;
+use crate::rig::{id, Rig};
+use badgerwind_standins::platform::executor::well;
+use badgerwind_standins::platform::member;
 use badgerwind_standins::platform::web::Ask;
+use serde_json::json;
 use std::fs;
+use std::time::{Duration, Instant};
 
 fn deploy(name: &str) -> String {
     let path = concat!(env!("CARGO_MANIFEST_DIR"), "/../../deploy/balancer.toml");
@@ -85,3 +89,19 @@
     }
     assert!(sockets >= 2, "it listens, and holds its executor's connection: {sockets}");
 }
+
+/// A whole fleet in the configuration: 400 executors known from the start, 300 peers.
+#[test]
+fn it_serves_within_thirty_seconds_of_its_start_with_a_whole_fleet_in_its_configuration() {
+    let began = Instant::now();
+    let rig = Rig::with(vec![Box::new(well)], |config| {
+        let own = config["known"]["notices"][0]["pool"]["members"][0].clone();
+        let others = (1..400).map(|n| member(id(n), "127.0.0.1:9".parse().unwrap(), "terminating"));
+        config["known"]["notices"][0]["pool"]["members"] = [own].into_iter().chain(others).collect();
+        config["settings"]["peersTotal"] = json!(300);
+        config["peers"] = (0..300).map(|n| json!(format!("127.0.0.1:{}", 20_000 + n))).collect();
+    });
+    assert_eq!(rig.health(), 200);
+    assert!(began.elapsed() < Duration::from_secs(30), "{:?}", began.elapsed());
+    assert_eq!(rig.call(&Ask::new(1)).status, 200);
+}
--- a/crates/badgerwind-gateway/src/platform/board.rs
+++ b/crates/badgerwind-gateway/src/platform/board.rs
@@ -52,7 +52,7 @@
 impl Shell {
     /// Takes news in: where executors are, and what the module is told.
     pub(super) fn news(&self, news: &News) {
-        self.executors.listed(self.clock.now(), news, self.transport.connect_timeout);
+        self.executors.listed(self.clock.now(), news);
         let entries = news.entries.iter().map(|l| l.entry.clone()).collect();
         self.tell(Input::List { kind: news.kind, entries });
     }
--- a/crates/badgerwind-gateway/src/platform/executors.rs
+++ b/crates/badgerwind-gateway/src/platform/executors.rs
@@ -7,7 +7,7 @@
 use badgerwind_platform::board::{Listed, News};
 use badgerwind_platform::line;
 use badgerwind_platform::link::{End, Link, Off, Task};
-use badgerwind_platform::reach::Reach;
+use badgerwind_platform::reach::{Patience, Reach, Sharing};
 use futures_lite::FutureExt;
 use smol::{Async, Timer};
 use std::cell::{Cell, RefCell};
@@ -37,6 +37,8 @@
     closing: Cell<bool>,
     dirty: Cell<bool>,
     door: Cell<Door>,
+    /// What was put on it last keeps it for itself until nothing is on it.
+    kept: Cell<bool>,
 }
 
 /// How far a new connection has come.
@@ -59,9 +61,14 @@
     links: Vec<Rc<Connection>>,
 }
 
-#[derive(Default)]
 pub(super) struct Executors {
     all: RefCell<HashMap<WorkerId, Executor>>,
+    /// How long executors take to say a word.
+    patience: RefCell<Patience>,
+    /// Whether calls share connections.
+    sharing: RefCell<Sharing>,
+    /// First pause after a connection was turned away.
+    pause: Span,
     /// Connections up or coming up.
     open: Cell<usize>,
     dirty: RefCell<Vec<Rc<Connection>>>,
@@ -69,10 +76,24 @@
 }
 
 impl Executors {
-    /// Takes in where executors are and whether they take work.
-    pub(super) fn listed(&self, now: Time, news: &News, connect_timeout: Span) {
+    /// None listed yet.
+    pub(super) fn new(connect_timeout: Span) -> Executors {
         // A connection not made by then has failed; twice that without a word is no longer chance.
         let patience = 2 * connect_timeout;
+        Executors {
+            all: RefCell::default(),
+            patience: RefCell::new(Patience::new(patience)),
+            sharing: RefCell::default(),
+            pause: patience,
+            open: Cell::default(),
+            dirty: RefCell::default(),
+            probes: Cell::default(),
+        }
+    }
+
+    /// Takes in where executors are and whether they take work.
+    pub(super) fn listed(&self, now: Time, news: &News) {
+        let pause = self.pause;
         let mut all = self.all.borrow_mut();
         if news.kind != ListKind::Changes {
             let named = |id: &WorkerId| news.entries.iter().any(|l| l.entry.worker == *id);
@@ -85,13 +106,13 @@
                 address: *address,
                 leaving: None,
                 gone: false,
-                reach: Reach::new(patience),
+                reach: Reach::new(pause),
                 links: Vec::new(),
             });
             if e.address != *address {
                 // Another machine: nothing new goes over what leads to the old one.
                 e.links.iter().for_each(|c| c.retire());
-                (e.address, e.reach) = (*address, Reach::new(patience));
+                (e.address, e.reach) = (*address, Reach::new(pause));
             }
             e.gone = entry.availability == Availability::Gone;
             e.leaving = match entry.availability {
@@ -138,8 +159,7 @@
         self.put(shell, now, worker, Task::Probe(number), false);
     }
 
-    /// Puts something on one of an executor's connections. Each has one of its own while descriptors last, since one
-    /// spoilt answer or reset costs all that share it. Where nothing was heard of the executor
+    /// Puts something on one of an executor's connections, with others while connections hold ([`Sharing`]). Where nothing was heard of the executor
     /// since something was handed over ([`Reach`]), a new connection shows first that it is there: on an old one silence
     /// would prove nothing.
     fn put(&self, shell: &Rc<Shell>, now: Time, worker: WorkerId, task: Task<Out>, anew: bool) {
@@ -154,9 +174,18 @@
         };
         let usable = |c: &&Rc<Connection>| !c.closing.get() && c.link.borrow().takes(&id);
         let idle = |c: &&Rc<Connection>| c.link.borrow().busy() == 0 && c.wire.borrow().is_some();
-        let trusted = !anew && e.reach.trusted(now);
+        let trusted = !anew && e.reach.trusted(now, self.patience.borrow().span());
         let pick = e.links.iter().filter(usable).filter(|_| trusted);
-        let mut own = pick.filter(idle).max_by_key(|c| c.link.borrow().used).cloned();
+        let mut own = pick.clone().filter(idle).max_by_key(|c| c.link.borrow().used).cloned();
+        // What must not run twice is lost with its connection; the others are tried again.
+        let once = matches!(&task, Task::Attempt { content, .. } if shell.once(&content.content));
+        let together = self.sharing.borrow().together(once);
+        if own.is_none() && together > 1 {
+            let shares = |c: &&Rc<Connection>| {
+                c.wire.borrow().is_some() && !c.kept.get() && c.link.borrow().busy() < together
+            };
+            own = pick.filter(shares).min_by_key(|c| c.link.borrow().busy()).cloned();
+        }
         if own.is_none() {
             let opens = anew || e.reach.opens(now);
             drop(all);
@@ -178,7 +207,11 @@
                     closing: Cell::default(),
                     dirty: Cell::default(),
                     door: Cell::new(Door::Unseen),
+                    kept: Cell::default(),
                 });
+                let standing = e.links.iter().filter(usable).count();
+                let all_in_use = trusted && standing > 0;
+                tracing::debug!(worker, standing, trusted, all_in_use, "a connection is opened");
                 e.links.push(c.clone());
                 self.open.set(self.open.get() + 1);
                 shell.tasks.spawn(shell.clone().drive(c.clone(), e.address)).detach();
@@ -195,6 +228,7 @@
         drop(all);
         match own {
             Some(c) => {
+                c.kept.set(once && together == 1);
                 c.link.borrow_mut().push(now, task);
                 self.mark(c);
             }
@@ -221,6 +255,15 @@
         }
     }
 
+    /// Bytes came from an executor: how long it took teaches what silence is worth.
+    fn word(&self, now: Time, worker: WorkerId) {
+        self.reach(worker, |r| {
+            if let Some(at) = r.heard() {
+                self.patience.borrow_mut().word(now.saturating_sub(at));
+            }
+        });
+    }
+
     fn mark(&self, c: Rc<Connection>) {
         if !c.dirty.replace(true) {
             self.dirty.borrow_mut().push(c);
@@ -374,6 +417,11 @@
         true
     }
 
+    /// Whether a call must not run twice, whatever becomes of its connection.
+    fn once(&self, content: &Content) -> bool {
+        self.set.classes.get(content.class).is_some_and(|c| c.effect == Effect::Once)
+    }
+
     /// It never ran.
     fn unsent(&self, worker: WorkerId, task: Task<Out>, outcome: Outcome) {
         match task {
@@ -404,6 +452,9 @@
         let mut ends = Vec::new();
         c.link.borrow_mut().broken(spoilt, &mut ends);
         c.close();
+        if was_up && ends.iter().any(|e| matches!(e, End::Attempt(_, _, end) if matches!(end.outcome, Outcome::Reset | Outcome::Error))) {
+            self.executors.sharing.borrow_mut().broke();
+        }
         for end in ends {
             match end {
                 End::Unsent(Task::Attempt { id, attempt, mut content, limit })
@@ -477,8 +528,7 @@
             return;
         }
         *c.wire.borrow_mut() = Some(Rc::new(Wire::new(stream)));
-        let heard = || self.executors.reach(c.worker, Reach::heard);
-        heard();
+        self.executors.reach(c.worker, |r| _ = r.heard());
         self.push_out(c);
         let mut ends = Vec::new();
         while !c.closing.get() {
@@ -495,10 +545,13 @@
                     Ok(None) => break,
                 };
                 let now = self.clock.now();
-                heard();
+                self.executors.word(now, c.worker);
                 let fed = c.link.borrow_mut().feed(now, &scratch[..n], &mut ends);
                 drop(scratch);
                 for end in ends.drain(..) {
+                    if matches!(end, End::Attempt(..)) {
+                        self.executors.sharing.borrow_mut().answered();
+                    }
                     self.at_the_door(c, &end);
                     self.end(c.worker, end);
                 }
--- a/crates/badgerwind-gateway/src/platform/shell.rs
+++ b/crates/badgerwind-gateway/src/platform/shell.rs
@@ -90,7 +90,7 @@
             tasks: LocalExecutor::new(),
             scratch: RefCell::new(vec![0; 64 * 1024]),
             clients: Clients::default(),
-            executors: Executors::default(),
+            executors: Executors::new(config.transport.connect_timeout),
             peers,
             stopping: Cell::new(false),
             closed: Cell::new(false),
