Members of the register as processes, with faults between and into them, judged from records

Need: the register's promise, no effect of a life after its end was written, must hold where processes are killed, stopped past their leases and cut off, and be judged by who knows nothing of it.

Found and mended on the way: an entry's events bore the number of the last entry of their batch (fleet/member.rs took applied() after the batch); members' ports were drawn where relays draw theirs.

Left: serve does not start it; voters are changed by no command; a full disk and two versions of a record on processes; 300 members only in simulated time.

--- a/crates/badgerwind-check/src/lib.rs
+++ b/crates/badgerwind-check/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod budgets;
 mod judge;
 mod record;
+pub mod register;
 pub mod worth;
 
 pub use judge::{judge, Broken, Near, Report, Rule, Service};
--- a/crates/badgerwind-fleet/src/member.rs
+++ b/crates/badgerwind-fleet/src/member.rs
@@ -74,8 +74,8 @@
 
 /// What whoever runs a member is told, on the member's own thread.
 pub trait Watch<P>: Send + 'static {
-    /// Something came about; `at` is the member's own time.
-    fn event(&mut self, at: Time, applied: Index, event: &Event);
+    /// An entry brought something about; `at` is the member's own time.
+    fn event(&mut self, at: Time, entry: Index, event: &Event);
 }
 
 /// What the register's thread publishes: exchanged whole, read without a lock.
@@ -316,7 +316,7 @@
                             })
                             .detach();
                     }
-                    Output::Event(event) => self.watch.event(now, self.node.ledger().applied(), &event),
+                    Output::Event(entry, event) => self.watch.event(now, entry, &event),
                     Output::Lost(0) => {}
                     Output::Lost(words) => {
                         tracing::warn!(words, "this member's life is over; words did not stand")
--- a/crates/badgerwind-register/src/node.rs
+++ b/crates/badgerwind-register/src/node.rs
@@ -44,8 +44,8 @@
     Send(Member, Message),
     /// To the disk. [`Input::Written`] follows once it is there, and nothing else is written meanwhile.
     Write(Write),
-    /// An entry brought something about.
-    Event(Event),
+    /// This entry brought something about.
+    Event(Index, Event),
     /// This member's life is over: so many of its words did not stand. It asks for another by itself.
     Lost(usize),
     /// An entry is of a form that this program does not know: a newer one is needed. It follows the log no further.
@@ -309,7 +309,7 @@
                 }
                 Event::Said(..) => {}
             }
-            out.push(Output::Event(event));
+            out.push(Output::Event(at, event));
         }
         self.look(now, out);
     }
--- a/crates/badgerwind-register/tests/world/mod.rs
+++ b/crates/badgerwind-register/tests/world/mod.rs
@@ -264,18 +264,20 @@
                     let took = self.rng.random_range(0..=self.plan.disk);
                     self.push(self.now + took, Event::Written(h, epoch));
                 }
-                Output::Event(badgerwind_register::Event::Over(m, life)) => {
+                Output::Event(_, badgerwind_register::Event::Over(m, life)) => {
                     if self.ended.insert(life) {
                         self.seen.ends += 1;
                     }
                     self.look(usize::from(m));
                 }
-                Output::Event(badgerwind_register::Event::Said(m, life, serial)) if usize::from(m) == h => {
+                Output::Event(_, badgerwind_register::Event::Said(m, life, serial))
+                    if usize::from(m) == h =>
+                {
                     if let Some(at) = self.spoken.remove(&(m, life, serial)) {
                         self.seen.took.push(self.now - at);
                     }
                 }
-                Output::Event(badgerwind_register::Event::Began(_, life)) => {
+                Output::Event(_, badgerwind_register::Event::Began(_, life)) => {
                     self.seen.lives = self.seen.lives.max(life);
                 }
                 Output::TooNew(at) => self.broken(format!("entry {at} cannot be read")),
--- /dev/null
+++ b/crates/badgerwind-rig/src/day.rs
@@ -0,0 +1,342 @@
+//! A day: members as processes, a relay for each way between two of them, faults, and what the records came to.
+
+use crate::member::{wall, Trial};
+use crate::RigError;
+use badgerwind_check::register::{judge, Found, Line};
+use badgerwind_standins::relay::{Flow, Link, Relay};
+use badgerwind_webhook::{Key, KeyKind};
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeMap;
+use std::fs::{File, OpenOptions};
+use std::io::Write;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::os::unix::fs::OpenOptionsExt;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::time::{Duration, Instant};
+
+/// How far lines of two processes may be apart in time, in microseconds: they read one clock of one machine.
+const FAIR: u64 = 2_000;
+
+/// Arguments of a drawn day.
+#[derive(clap::Args, Debug)]
+pub struct Args {
+    /// Draws members, voters, clocks and faults
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// How long it lasts
+    #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u64).range(4..=120))]
+    seconds: u64,
+    /// Keep records and logs in this folder, which must be new
+    #[arg(long)]
+    keep: Option<PathBuf>,
+}
+
+/// What befalls members.
+#[derive(Clone, Debug)]
+pub enum Fault {
+    /// These are killed outright.
+    Kill(Vec<usize>),
+    /// These start again, with their disks.
+    Start(Vec<usize>),
+    /// These are stopped in the middle of whatever they do.
+    Stop(Vec<usize>),
+    /// And go on.
+    Go(Vec<usize>),
+    /// Nothing passes from the first to the second, and nobody is told.
+    Cut(Vec<usize>, Vec<usize>),
+    /// All ways are open; what stood is broken, so that nothing old comes late.
+    Heal,
+}
+
+/// A loopback address for each fleet of each process: members bind there, now and after each death, and nobody else draws
+/// ports from it.
+fn own_address() -> Ipv4Addr {
+    static FLEETS: AtomicU32 = AtomicU32::new(0);
+    let (pid, n) = (std::process::id().to_be_bytes(), FLEETS.fetch_add(1, Ordering::Relaxed));
+    Ipv4Addr::new(127, 16 + (pid[2] & 0x7f), pid[3], 1 + (n % 250) as u8)
+}
+
+struct Process(Child);
+
+impl Process {
+    fn signal(&self, name: &str) -> Result<(), RigError> {
+        // The standard library has only SIGKILL.
+        Command::new("kill").args([name, &self.0.id().to_string()]).status().map_err(RigError::Process)?;
+        Ok(())
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        let _ = (self.0.kill(), self.0.wait()); // already gone is as good
+    }
+}
+
+/// Members as processes.
+pub struct Fleet {
+    program: PathBuf,
+    folder: PathBuf,
+    listen: Vec<SocketAddr>,
+    relays: BTreeMap<(usize, usize), Relay>,
+    members: Vec<Option<Process>>,
+    fast: Vec<i64>,
+    voters: usize,
+    starts: usize,
+    /// Members that ended though nobody killed them.
+    pub wrong: Vec<String>,
+}
+
+impl Fleet {
+    /// Starts members of which the first so many vote. `program` is the rig's own.
+    pub fn start(
+        program: &Path,
+        folder: &Path,
+        members: usize,
+        trial: &Trial,
+        fast: Vec<i64>,
+    ) -> Result<Fleet, RigError> {
+        let file = |name: &str| folder.join(name);
+        let write = |name: &str, text: Vec<u8>| {
+            let path = file(name);
+            let new = OpenOptions::new().write(true).create_new(true).mode(0o600).open(&path);
+            new.and_then(|mut f| f.write_all(&text))
+                .map_err(|e| RigError::File(path.display().to_string(), e))
+        };
+        let json = |what: serde_json::Result<Vec<u8>>| what.map_err(|e| RigError::Text("a trial".into(), e));
+        write("trial.json", json(serde_json::to_vec(trial))?)?;
+        let key = Key::generate(KeyKind::Shared).map_err(|e| RigError::Member(e.to_string()))?;
+        write("key", key.to_text().as_bytes().to_vec())?;
+        let own = own_address();
+        // Held until all are drawn, so that no two are alike; members bind them next.
+        let free: Vec<_> = (0..members)
+            .map(|_| TcpListener::bind((own, 0)))
+            .collect::<Result<_, _>>()
+            .map_err(RigError::Network)?;
+        let listen: Vec<_> =
+            free.iter().map(TcpListener::local_addr).collect::<Result<_, _>>().map_err(RigError::Network)?;
+        drop(free);
+        let mut relays = BTreeMap::new();
+        for from in 0..members {
+            let mut peers = BTreeMap::new();
+            for to in (0..members).filter(|to| *to != from) {
+                let relay = smol::block_on(Relay::start(listen[to])).map_err(RigError::Network)?;
+                peers.insert(to as u16, relay.at);
+                relays.insert((from, to), relay);
+            }
+            write(&format!("peers-{from}.json"), json(serde_json::to_vec(&peers))?)?;
+        }
+        let voters = trial.voters.len();
+        for v in 0..voters {
+            let made = badgerwind_fleet::member::begin(&file(&format!("disk-{v}")), &trial.terms());
+            made.map_err(|e| RigError::Member(e.to_string()))?;
+        }
+        let none = (0..members).map(|_| None).collect();
+        let (program, folder) = (program.to_owned(), folder.to_owned());
+        let mut fleet = Fleet {
+            program,
+            folder,
+            listen,
+            relays,
+            members: none,
+            fast,
+            voters,
+            starts: 0,
+            wrong: Vec::new(),
+        };
+        fleet.act(&Fault::Start((0..members).collect()))?;
+        Ok(fleet)
+    }
+
+    fn begin(&mut self, n: usize) -> Result<(), RigError> {
+        if self.members[n].is_some() {
+            return Ok(());
+        }
+        self.starts += 1;
+        let file = |name: String| self.folder.join(name);
+        let log = file(format!("member-{n}-{}.log", self.starts));
+        let log = File::create(&log).map_err(|e| RigError::File(log.display().to_string(), e))?;
+        let mut command = Command::new(&self.program);
+        command.arg("member").args(["--number", &n.to_string(), "--listen", &self.listen[n].to_string()]);
+        command.arg("--trial").arg(file("trial.json".into())).arg("--key").arg(file("key".into()));
+        command.arg("--peers").arg(file(format!("peers-{n}.json")));
+        command.arg("--record").arg(file(format!("member-{n}-{}.jsonl", self.starts)));
+        command.args(["--clock-fast", &self.fast[n].to_string()]);
+        if n < self.voters {
+            command.arg("--disk").arg(file(format!("disk-{n}")));
+        }
+        let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn();
+        self.members[n] = Some(Process(child.map_err(RigError::Process)?));
+        Ok(())
+    }
+
+    /// Lets something befall them.
+    pub fn act(&mut self, fault: &Fault) -> Result<(), RigError> {
+        self.look();
+        let signal = |who: &[usize], name: &str| -> Result<(), RigError> {
+            who.iter().filter_map(|n| self.members[*n].as_ref()).try_for_each(|p| p.signal(name))
+        };
+        match fault {
+            Fault::Kill(who) => who.iter().for_each(|n| self.members[*n] = None),
+            Fault::Start(who) => who.iter().try_for_each(|n| self.begin(*n))?,
+            Fault::Stop(who) => signal(who, "-STOP")?,
+            Fault::Go(who) => signal(who, "-CONT")?,
+            Fault::Cut(from, to) => {
+                let cut = Link { there: Flow::Silent, back: Flow::Silent, broken: false };
+                let both = |a: &usize, b: &usize| self.relays.get(&(*a, *b));
+                from.iter().flat_map(|f| to.iter().filter_map(move |t| both(f, t))).for_each(|r| r.set(cut));
+            }
+            Fault::Heal => {
+                for relay in self.relays.values() {
+                    relay.set(Link { broken: true, ..Link::default() });
+                    relay.set(Link::default());
+                }
+            }
+        }
+        Ok(())
+    }
+
+    fn look(&mut self) {
+        for (n, p) in self.members.iter_mut().enumerate() {
+            if let Some(status) = p.as_mut().and_then(|p| p.0.try_wait().ok().flatten()) {
+                self.wrong.push(format!("member {n} ended by itself: {status}"));
+                *p = None;
+            }
+        }
+    }
+
+    /// All that members wrote so far.
+    pub fn lines(&self) -> Result<Vec<Line>, RigError> {
+        let shown = self.folder.display().to_string();
+        let failed = |e| RigError::File(shown.clone(), e);
+        let mut all = Vec::new();
+        for entry in std::fs::read_dir(&self.folder).map_err(failed)? {
+            let path = entry.map_err(failed)?.path();
+            if path.extension().is_none_or(|e| e != "jsonl") {
+                continue;
+            }
+            let mut text = std::fs::read_to_string(&path).map_err(failed)?;
+            // A writer that was killed may have left half a line.
+            text.truncate(text.rfind('\n').map_or(0, |at| at + 1));
+            for line in text.lines() {
+                let line = serde_json::from_str(line);
+                all.push(line.map_err(|e| RigError::Text(path.display().to_string(), e))?);
+            }
+        }
+        Ok(all)
+    }
+
+    /// Waits until what members wrote holds something; false where it did not in time.
+    pub fn until(&mut self, most: Duration, holds: impl Fn(&[Line]) -> bool) -> Result<bool, RigError> {
+        let end = Instant::now() + most;
+        loop {
+            if holds(&self.lines()?) {
+                return Ok(true);
+            }
+            self.look();
+            if Instant::now() > end || !self.wrong.is_empty() {
+                return Ok(false);
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    /// What the records come to.
+    pub fn judge(&mut self, lease: u64) -> Result<Found, RigError> {
+        self.look();
+        Ok(judge(&self.lines()?, FAIR, lease / 10))
+    }
+}
+
+/// Whether members have acted since then.
+pub fn acting_since(lines: &[Line], since: u64) -> Vec<u16> {
+    use badgerwind_check::register::What;
+    let acts = lines.iter().filter(|l| l.at > since && matches!(l.what, What::Acted { .. }));
+    let mut who: Vec<u16> = acts.map(|l| l.member).collect();
+    who.sort_unstable();
+    who.dedup();
+    who
+}
+
+/// Draws members, voters, clocks and faults.
+fn draw(seed: u64, ms: u64) -> (usize, Trial, Vec<i64>, Vec<(u64, Fault)>) {
+    let mut rng = StdRng::seed_from_u64(seed ^ 0x4e61);
+    let voters: usize = [3, 3, 5][rng.random_range(0..3)];
+    let members = voters + rng.random_range(1..5);
+    let drift = [0, 10_000][rng.random_range(0..2)];
+    let trial = Trial { voters: (0..voters as u16).collect(), lease: 900_000, beat: 200_000, drift };
+    let fast = (0..members).map(|_| rng.random_range(-i64::from(drift)..=i64::from(drift))).collect();
+    let mut faults = Vec::new();
+    for _ in 0..rng.random_range(2..=4) {
+        let from = rng.random_range(ms * 25 / 100..ms * 50 / 100);
+        let to = from + [100, 700, 1600][rng.random_range(0..3)];
+        let mut who: Vec<usize> = (0..members).collect();
+        who.shuffle(&mut rng);
+        let others = who.split_off([1, 1, members / 2, members * 7 / 10][rng.random_range(0..4)].max(1));
+        match rng.random_range(0..5) {
+            0 => faults.extend([(from, Fault::Kill(who.clone())), (to, Fault::Start(who))]),
+            1 => faults.extend([(from, Fault::Stop(who.clone())), (to, Fault::Go(who))]),
+            2 => faults.extend([
+                (from, Fault::Cut(who.clone(), others.clone())),
+                (from, Fault::Cut(others, who)),
+                (to, Fault::Heal),
+            ]),
+            3 => faults.extend([(from, Fault::Cut(who, others)), (to, Fault::Heal)]),
+            _ => faults.extend([(from, Fault::Cut(others, who)), (to, Fault::Heal)]),
+        }
+    }
+    faults.sort_by_key(|f| f.0);
+    (members, trial, fast, faults)
+}
+
+/// Plays a drawn day and prints what it came to; false where something is broken.
+pub fn run(args: &Args) -> Result<bool, RigError> {
+    let ms = args.seconds * 1000;
+    let (members, trial, fast, faults) = draw(args.seed, ms);
+    let made;
+    let folder = match &args.keep {
+        Some(folder) => {
+            std::fs::create_dir(folder).map_err(|e| RigError::File(folder.display().to_string(), e))?;
+            folder.as_path()
+        }
+        None => {
+            made = tempfile::tempdir().map_err(|e| RigError::File("a temporary folder".into(), e))?;
+            made.path()
+        }
+    };
+    let program = std::env::current_exe().map_err(RigError::Process)?;
+    let mut fleet = Fleet::start(&program, folder, members, &trial, fast)?;
+    let began = Instant::now();
+    for (at, fault) in &faults {
+        std::thread::sleep(Duration::from_millis(*at).saturating_sub(began.elapsed()));
+        fleet.act(fault)?;
+    }
+    std::thread::sleep(Duration::from_millis(ms).saturating_sub(began.elapsed()));
+    let found = fleet.judge(trial.lease)?;
+    let back = acting_since(&fleet.lines()?, wall() - trial.lease).len();
+    println!(
+        "seed {}, {} s, {members} members ({} vote), clocks within {} millionths, {} troubles",
+        args.seed,
+        args.seconds,
+        trial.voters.len(),
+        trial.drift,
+        faults.len()
+    );
+    println!(
+        "{} effects, {} of them shortly before their life's end was told; {back} of {members} act at the end",
+        found.acts, found.near
+    );
+    fleet.wrong.iter().chain(found.broken.iter().take(10)).for_each(|w| println!("{w}"));
+    let broken = found.broken.len() + fleet.wrong.len();
+    if broken > 0 {
+        println!("register: BROKEN, {broken} times");
+    } else if found.ends == 0 {
+        println!("register: not exercised, {} lives and none ended", found.lives);
+    } else {
+        println!("register: kept, {} lives, {} ends, {} words", found.lives, found.ends, found.words);
+    }
+    Ok(broken == 0)
+}
