Links open once there is something to say, without a look every 5 ms for each peer

Seen on reading again: fleet/member.rs, lead_when_used, looked at each peer's queue every 5 ms; with 300 peers that is 60,000 looks a second in each process.

Change: link.rs waits for the first message before it connects, and sends that first. The rig's heal gives connections 20 ms to see that they are broken.

--- a/crates/badgerwind-fleet/src/link.rs
+++ b/crates/badgerwind-fleet/src/link.rs
@@ -107,20 +107,25 @@
 }
 
 async fn sending(seal: &Seal, to: Member, at: SocketAddr, from: &Receiver<Message>) -> Result<(), Broken> {
+    // Nothing is opened before there is something to say: of 300 members most speak to voters alone.
+    let Ok(mut message) = from.recv().await else { return Ok(()) };
     let connect = async { Ok(TcpStream::connect(at).await?) };
     let mut stream = connect.or(late(PATIENCE)).await?;
     stream.set_nodelay(true)?;
     let mut noise = opened(seal, to, &mut stream).or(late(PATIENCE)).await?;
     let mut sealed = vec![0u8; 65_535];
-    while let Ok(message) = from.recv().await {
+    loop {
         let bytes = message.bytes();
         let framed = [&(bytes.len() as u32).to_be_bytes()[..], &bytes].concat();
         for part in framed.chunks(PIECE) {
             let n = noise.write_message(part, &mut sealed)?;
             piece(&mut stream, &sealed[..n]).or(late(STUCK)).await?;
         }
+        message = match from.recv().await {
+            Ok(next) => next,
+            Err(_) => return Ok(()),
+        };
     }
-    Ok(())
 }
 
 /// Leads what is put into a queue to a member, over one connection after another, until the queue is closed. What waits while
--- a/crates/badgerwind-fleet/src/member.rs
+++ b/crates/badgerwind-fleet/src/member.rs
@@ -259,8 +259,7 @@
         for (to, at) in options.peers.iter().filter(|(to, _)| **to != options.me) {
             let (put, take) = async_channel::bounded(QUEUE);
             self.links.insert(*to, put);
-            // A follower speaks to voters alone, a voter to all; a link that nothing is put into stays closed.
-            tasks.spawn(lead_when_used(seal.clone(), *to, *at, take)).detach();
+            tasks.spawn(link::lead(seal.clone(), *to, *at, take)).detach();
         }
         // Both ways of each pair, and those that are on their way out.
         let most = 3 * options.peers.len() + 16;
@@ -348,11 +347,3 @@
         }
     }
 }
-
-/// A link is opened once there is something to say.
-async fn lead_when_used(seal: Seal, to: Member, at: SocketAddr, from: Receiver<Message>) {
-    while from.is_empty() && !from.is_closed() {
-        Timer::after(Duration::from_millis(5)).await;
-    }
-    link::lead(seal, to, at, from).await;
-}
--- a/crates/badgerwind-rig/src/day.rs
+++ b/crates/badgerwind-rig/src/day.rs
@@ -190,10 +190,11 @@
                 from.iter().flat_map(|f| to.iter().filter_map(move |t| both(f, t))).for_each(|r| r.set(cut));
             }
             Fault::Heal => {
-                for relay in self.relays.values() {
-                    relay.set(Link { broken: true, ..Link::default() });
-                    relay.set(Link::default());
-                }
+                let all = |link: Link| self.relays.values().for_each(|r| r.set(link));
+                all(Link { broken: true, ..Link::default() });
+                // Each connection's task has its turn to see it; one that does not goes on where it was.
+                std::thread::sleep(Duration::from_millis(20));
+                all(Link::default());
             }
         }
         Ok(())
