A voter that joins begins with the first voters, and never as a majority of one

Seen by a new test of a replaced voter: the one that was added counted {3} as the voters, where the others had {1, 2, 3}. The log holds changes of voters and not the first ones; Node::join began with nobody (node.rs, join), so that reading its own addition made it a majority by itself.

Change: join is gone; a voter that joins begins as the first ones did. The test loses one voter's disk, takes it out, adds another, loses one more, and sees the new vote count.

--- a/crates/badgerwind-register/src/node.rs
+++ b/crates/badgerwind-register/src/node.rs
@@ -101,16 +101,13 @@
         Ok(node)
     }
 
-    /// What is on each first voter's disk before the register's first start.
+    /// What is on each first voter's disk before the register's first start, and on that of a voter that joins later: the log
+    /// begins with the first voters, and says who came and went since. One that began with nobody would take itself for the
+    /// only voter as soon as it read that it was added.
     pub fn begin(terms: &Terms) -> Kept {
         voter::begin(&terms.voters)
     }
 
-    /// What is on the disk of a voter that joins later: the others' word of the log reaches it once it was added.
-    pub fn join() -> Kept {
-        voter::begin(&[])
-    }
-
     #[doc(hidden)]
     pub fn flawed(mut self, now: Time, flaw: Option<Flaw>) -> Node<P> {
         self.flaw = flaw;
--- a/crates/badgerwind-register/src/terms.rs
+++ b/crates/badgerwind-register/src/terms.rs
@@ -14,7 +14,7 @@
 /// Terms of the register.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Terms {
-    /// Members that vote when the register begins, in one order for all; 1, 3, 5 or 7. Later changes are in the log.
+    /// Members that voted when the register began, in one order for all; 1, 3, 5 or 7. Later changes are in the log, and these stay.
     pub voters: Vec<Member>,
     /// How long a member counts as living from when it asked, in microseconds.
     pub lease: Span,
