Words to the register are bounded in bytes, and ends count in what waits for the log

Seen on reading the change again: seat.rs, say, bounded words under way by number and not by length, so that one word could be longer than all that a leader lets wait (voter.rs, offered) and be offered for ever; ends proposed by the leader were subtracted from what waits and never added (voter.rs, tick).

Change: a word longer than an entry may be is refused at once; ends are counted.

--- a/crates/badgerwind-register/src/node.rs
+++ b/crates/badgerwind-register/src/node.rs
@@ -156,7 +156,7 @@
 
     /// Says something to the part. It stands once [`Event::Said`] tells its serial; if this life ends before, it never will.
     pub fn say(&mut self, now: Time, bytes: Vec<u8>, out: &mut Vec<Output>) -> Result<(Life, u64), Refused> {
-        let said = self.seat.say(now, self.terms.under_way, bytes)?;
+        let said = self.seat.say(now, &self.terms, bytes)?;
         let newest = self.seat.newest(&self.terms);
         newest.into_iter().for_each(|(to, m)| self.send(now, to, m, out));
         self.settle(now, out);
--- a/crates/badgerwind-register/src/seat.rs
+++ b/crates/badgerwind-register/src/seat.rs
@@ -12,6 +12,9 @@
     /// This member has no life, or its lease is over: it may say nothing.
     #[error("the register does not count this member as living: it cannot be reached, or has just begun")]
     NotLiving,
+    /// A word longer than an entry may be.
+    #[error("a word of {0} bytes; {1} at most")]
+    Long(usize, usize),
     /// As many words as may be are under way.
     #[error("{0} words wait for the register already")]
     Full(usize),
@@ -84,10 +87,13 @@
     }
 
     /// A word is under way from here; it is offered until it stands.
-    pub(crate) fn say(&mut self, now: Time, most: usize, bytes: Vec<u8>) -> Result<(Life, u64), Refused> {
+    pub(crate) fn say(&mut self, now: Time, terms: &Terms, bytes: Vec<u8>) -> Result<(Life, u64), Refused> {
         let life = self.alive(now).ok_or(Refused::NotLiving)?;
-        if self.words.len() >= most {
-            return Err(Refused::Full(most));
+        if bytes.len() > terms.batch {
+            return Err(Refused::Long(bytes.len(), terms.batch));
+        }
+        if self.words.len() >= terms.under_way {
+            return Err(Refused::Full(terms.under_way));
         }
         self.serial += 1;
         self.words.push_back((self.serial, bytes));
--- a/crates/badgerwind-register/src/voter.rs
+++ b/crates/badgerwind-register/src/voter.rs
@@ -176,7 +176,9 @@
         let Some(leases) = &mut reign.leases else { return };
         let living = ledger.members().iter().filter(|(_, s)| !s.over).map(|(m, s)| (*m, s.life));
         for (member, life) in leases.over(now, outlasts, living) {
-            reign.queue.push_back(Record::Over { member, life });
+            let over = Record::Over { member, life };
+            reign.waiting += over.size();
+            reign.queue.push_back(over);
         }
         if !reign.asks.is_empty() {
             reign.proof += 1;
--- a/crates/badgerwind-register/tests/voters.rs
+++ b/crates/badgerwind-register/tests/voters.rs
@@ -57,6 +57,25 @@
     }
 }
 
+/// What waits is bounded in number and in bytes, at who says it.
+#[test]
+fn words_too_long_or_too_many_are_refused_at_once() {
+    let terms = Terms { under_way: 3, batch: 1024, ..Terms::of(vec![0]) };
+    let setup = Setup { me: 0, zone: 0, seed: 5, terms: terms.clone() };
+    let node = Node::voter(0, setup, Node::<Tally>::begin(&terms), Tally::default()).unwrap();
+    let mut room = Room { now: 0, nodes: [(0, node)].into(), down: vec![] };
+    let say = |room: &mut Room, bytes: usize| {
+        let now = room.now;
+        room.nodes.get_mut(&0).unwrap().say(now, vec![0; bytes], &mut Vec::new()).map(|s| s.1)
+    };
+    assert_eq!(say(&mut room, 8), Err(Refused::NotLiving));
+    room.pass(3_000);
+    assert_eq!(say(&mut room, 1025), Err(Refused::Long(1025, 1024)));
+    // Nothing is written meanwhile: the fourth finds three under way.
+    let said: Vec<_> = (0..4).map(|_| say(&mut room, 8)).collect();
+    assert_eq!(said, [Ok(1), Ok(2), Ok(3), Err(Refused::Full(3))]);
+}
+
 #[test]
 fn a_voter_whose_disk_was_lost_is_replaced_and_the_new_one_counts() {
     let terms = Terms::of(vec![0, 1, 2]);
