--- /dev/null
+++ b/crates/badgerwind-cli/tests/platform/crossings.rs
@@ -0,0 +1,341 @@
+//! What is owed at an instant, and what crosses it: clients that leave, connections that end, lists told again. Each test brings
+//! the front end into the exact state by peers that wait for it, not by time.
+
+use crate::rig::*;
+use badgerwind_platform::fcgi;
+use badgerwind_standins::platform::board::{record, Board};
+use badgerwind_standins::platform::door::Door;
+use badgerwind_standins::platform::executor::{hit, say, well, Do, Executor, Seen};
+use badgerwind_standins::platform::web::{Ask, Web};
+use badgerwind_standins::platform::{configuration, member, until};
+use serde_json::json;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+const READY: u8 = 0;
+const DRAINING: u8 = 1;
+
+/// Longer than any test waits.
+const LONG_MS: u64 = 120_000;
+
+fn long(n: u64) -> Ask {
+    Ask { wait_ms: LONG_MS, ..Ask::new(n) }
+}
+
+fn book(n: u64) -> Ask {
+    Ask { class: "book".into(), ..long(n) }
+}
+
+/// Does something else with calls only.
+fn calls(with: impl Fn(&Seen) -> Vec<Do> + Send + Sync + 'static) -> Script {
+    Box::new(move |s| if s.word == "FN" { with(s) } else { well(s) })
+}
+
+fn tries(executor: &Executor, ask: &Ask) -> usize {
+    executor.words("FN").iter().filter(|s| s.req == ask.id).count()
+}
+
+/// Whatever was written to the front end before has been read once this is answered.
+fn barrier(rig: &Rig) {
+    (0..2).for_each(|_| assert!([200, 503].contains(&rig.health())));
+}
+
+#[test]
+fn a_client_that_closes_its_connection_has_its_call_given_up() {
+    let rig = Rig::start(vec![calls(|_| vec![])]);
+    let mut web = rig.web();
+    // One that must not run twice is never called off for its executor's silence.
+    web.ask(1, &book(1)).unwrap();
+    assert!(until(|| tries(&rig.executors[0], &book(1)) == 1));
+    drop(web);
+    assert!(until(|| !rig.executors[0].words("KILL").is_empty()), "nobody waits for it");
+}
+
+#[test]
+fn no_further_attempt_begins_for_a_client_that_has_closed_its_connection() {
+    let shed = Arc::new(AtomicBool::new(false));
+    let told = shed.clone();
+    let rig = Rig::start(vec![calls(move |s| match s.line["data"].as_str() {
+        Some("bGVhdmVz") => {
+            assert!(until(|| told.load(Ordering::Relaxed)));
+            vec![Do::Write(say("SHED", s))]
+        }
+        _ => vec![Do::Write(hit(s))],
+    })]);
+    let mut web = rig.web();
+    let left = Ask { body: b"leaves".to_vec(), ..long(1) };
+    web.ask(1, &left).unwrap();
+    assert!(until(|| tries(&rig.executors[0], &left) == 1));
+    drop(web);
+    barrier(&rig);
+    shed.store(true, Ordering::Relaxed);
+    // What comes after it is served, so that a further attempt of it would have come by then.
+    for n in 2..6 {
+        assert_eq!(rig.call(&long(n)).status, 200);
+    }
+    assert_eq!(tries(&rig.executors[0], &left), 1);
+}
+
+/// A connection that takes in nothing more, because of what its client sent, still hears that the client goes.
+#[test]
+fn a_doomed_connection_still_hears_its_clients_abort_and_close() {
+    let mut too_long = Vec::new();
+    fcgi::record(&mut too_long, fcgi::BEGIN_REQUEST, 2, &[0, 1, 1, 0, 0, 0, 0, 0]);
+    fcgi::stream(&mut too_long, fcgi::PARAMS, 2, b"");
+    fcgi::record(&mut too_long, fcgi::STDIN, 2, &[0; 20_000]);
+    for (junk, abort) in
+        [(b"GET / HTTP/1.1\r\n\r\n".to_vec(), false), (too_long.clone(), true), (too_long, false)]
+    {
+        let rig = Rig::start(vec![calls(|_| vec![])]);
+        let mut web = rig.web();
+        web.ask(1, &book(1)).unwrap();
+        assert!(until(|| tries(&rig.executors[0], &book(1)) == 1));
+        web.write(&junk).unwrap();
+        barrier(&rig);
+        assert!(rig.executors[0].words("KILL").is_empty(), "it is owed its answer until then");
+        if abort {
+            web.abort(1).unwrap();
+        } else {
+            drop(web);
+        }
+        assert!(until(|| !rig.executors[0].words("KILL").is_empty()));
+    }
+}
+
+/// A connection to an executor may take a second to come up. What waits for it belongs to clients that may have left by then.
+#[test]
+fn what_waits_for_a_connection_to_come_up_stays_back_when_its_client_leaves() {
+    // By a withdrawal, where nothing may be called off; by a close, where it may.
+    for (may_cancel, abort) in [(false, true), (true, false), (false, false)] {
+        let door = Door::shut().unwrap();
+        let listed = [member(id(0), door.address, "in_service")];
+        let rig = Rig::with(vec![], |config| {
+            config["known"]["notices"][0]["pool"]["members"] = json!(listed);
+            config["settings"]["allowed"]["mayCancel"] = json!(may_cancel);
+            config["settings"]["allowed"]["connectTimeout"] = json!(20_000_000);
+            // Calls go out at once, without a load order ahead of them.
+            config["settings"]["specifics"]["placementCalls"] = json!(false);
+        });
+        let (mut leaves, mut stays) = (rig.web(), rig.web());
+        leaves.ask(1, &long(1)).unwrap();
+        assert!(until(|| door.knocking() == 1));
+        if abort {
+            leaves.abort(1).unwrap();
+        } else {
+            drop(leaves);
+        }
+        barrier(&rig);
+        stays.ask(1, &long(2)).unwrap();
+        barrier(&rig);
+        let executor = Executor::on(door.open().unwrap(), usize::MAX, well).unwrap();
+        assert_eq!(stays.answer().unwrap().status, 200);
+        assert_eq!(tries(&executor, &long(1)), 0, "cancel {may_cancel}, abort {abort}");
+        assert_eq!(tries(&executor, &long(2)), 1);
+    }
+}
+
+/// Keeps a front end busy while it lives, so that it is stopped between reading and acting rather than asleep.
+struct Busy(Arc<AtomicBool>, Vec<std::thread::JoinHandle<()>>);
+
+impl Busy {
+    fn with(rig: &Rig) -> Busy {
+        let over = Arc::<AtomicBool>::default();
+        let ask = |mut web: Web| {
+            let over = over.clone();
+            std::thread::spawn(move || {
+                while !over.load(Ordering::Relaxed) && web.healthy(1).is_ok() && web.answer().is_ok() {}
+            })
+        };
+        let threads = (0..6).map(|_| ask(rig.web())).collect();
+        Busy(over, threads)
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.0.store(true, Ordering::Relaxed);
+        self.1.drain(..).for_each(|t| t.join().unwrap());
+    }
+}
+
+/// An executor closes a connection that has been idle. Its close is here, but not read, when a call that must not run twice
+/// is put on it: that call would count as one that may have run.
+#[test]
+fn a_close_that_was_not_read_yet_costs_no_call() {
+    let round = Duration::from_millis(100);
+    let rig = Rig::with(vec![Box::new(well)], |config| {
+        // Calls are handed over once in so long: the next one waits for its turn while the executor closes.
+        config["settings"]["round"] = json!(round.as_micros() as u64);
+    });
+    let _busy = Busy::with(&rig);
+    let mut web = rig.web();
+    for n in (1..60).step_by(2) {
+        web.ask(1, &book(n)).unwrap();
+        assert_eq!(web.answer().unwrap().status, 200);
+        let began = Instant::now();
+        web.ask(2, &book(n + 1)).unwrap();
+        web.healthy(3).unwrap();
+        assert_eq!(web.answer().unwrap().number, 3, "the call has been read");
+        rig.freeze();
+        (0..n as usize).for_each(|connection| _ = rig.executors[0].close(connection));
+        std::thread::sleep((round + Duration::from_millis(10)).saturating_sub(began.elapsed()));
+        rig.thaw();
+        assert_eq!(web.answer().unwrap().status, 200, "call {}", n + 1);
+        assert_eq!(tries(&rig.executors[0], &book(n + 1)), 1);
+    }
+}
+
+/// A second answer may come some milliseconds after the first. Taken for the answer to the next attempt of the same call, it would
+/// end that one while it runs, and a third would begin beside it.
+#[test]
+fn a_second_answer_never_ends_the_next_attempt_of_its_call() {
+    for word in ["SHED", "NONE", "FAULT"] {
+        let tried = AtomicUsize::new(0);
+        let rig = Rig::start(vec![calls(move |s| match tried.fetch_add(1, Ordering::Relaxed) {
+            0 => vec![Do::Write(say(word, s))],
+            1 => vec![Do::WriteOn(0, say(word, s)), Do::Wait(Duration::from_millis(300)), Do::Write(hit(s))],
+            _ => vec![Do::Write(hit(s))],
+        })]);
+        assert_eq!(rig.call(&long(1)).status, 200);
+        assert_eq!(tries(&rig.executors[0], &long(1)), 2, "{word}");
+    }
+}
+
+/// The same executor at another address is another machine: what is busy on the way to the old one leads nowhere new.
+#[test]
+fn nothing_new_goes_to_the_address_that_an_executor_has_left() {
+    let rig = Rig::start(vec![calls(|s| match s.line["data"].as_str() {
+        Some("c3RheXM=") => vec![],
+        _ => vec![Do::Write(hit(s))],
+    })]);
+    let mut web = rig.web();
+    assert_eq!(rig.call(&long(1)).status, 200);
+    web.ask(1, &Ask { body: b"stays".to_vec(), ..long(2) }).unwrap();
+    assert!(until(|| tries(&rig.executors[0], &long(2)) == 1));
+    let new = Executor::start(well).unwrap();
+    rig.board.tell(&[record(id(0), new.address, READY)]);
+    let mut n = 100;
+    assert!(until(|| {
+        n += 1;
+        assert_eq!(rig.call(&long(n)).status, 200);
+        !new.words("FN").is_empty()
+    }));
+    let before = rig.executors[0].words("FN").len();
+    (0..20).for_each(|k| assert_eq!(rig.call(&long(1000 + k)).status, 200));
+    assert_eq!(rig.executors[0].words("FN").len(), before);
+}
+
+/// A board that has lost events tells all from its start, also that executors were ready which drain since.
+#[test]
+fn a_list_told_again_from_its_start_brings_back_nobody_who_drains() {
+    let rig = Rig::well();
+    let address = rig.executors[0].address;
+    assert_eq!(rig.call(&Ask::new(1)).status, 200);
+    rig.board.began_with(&[record(id(0), address, READY)]);
+    rig.board.tell(&[record(id(0), address, DRAINING)]);
+    let mut n = 10;
+    assert!(until(|| {
+        n += 1;
+        rig.call(&Ask { wait_ms: 200, ..Ask::new(n) }).status != 200
+    }));
+    let before = rig.executors[0].words("FN").len();
+    // Told again, it stops after the first event: that the executor was ready.
+    rig.board.hold_after(1);
+    rig.board.lose(3);
+    rig.board.tell(&[record(77, address, DRAINING)]);
+    assert!(until(|| rig.board.asked().contains(&0)), "a gap is noticed: {:?}", rig.board.asked());
+    // Event 1 is written in the same turn as the number is read, and an empty frame a second later.
+    let since = Instant::now();
+    let mut n = 500;
+    while since.elapsed() < Duration::from_millis(1_500) {
+        n += 1;
+        rig.call(&Ask { wait_ms: 100, ..Ask::new(n) });
+    }
+    assert_eq!(rig.executors[0].words("FN").len(), before);
+    // Once it has caught up, it is followed as before.
+    let new = Executor::start(well).unwrap();
+    rig.board.tell(&[record(78, new.address, READY)]);
+    rig.board.hold_after(u64::MAX);
+    assert!(until(|| {
+        n += 1;
+        rig.call(&Ask { wait_ms: 300, ..Ask::new(n) }).status == 200
+    }));
+    assert_eq!(rig.executors[0].words("FN").len(), before);
+}
+
+/// A connection that has been idle may go to make room, or after a time. A request whose last byte is here is taken, read or not.
+#[test]
+fn a_request_that_was_not_read_yet_keeps_its_connection() {
+    // To make room: one more connection than the front end holds comes while it has no core.
+    let rig = Rig::with(vec![Box::new(well)], |config| config["limits"]["sockets"] = json!(64));
+    let held = 18;
+    let mut webs: Vec<Web> = Vec::new();
+    for _ in 0..held {
+        let mut web = rig.web();
+        web.healthy(1).unwrap();
+        web.answer().unwrap();
+        webs.push(web);
+    }
+    rig.freeze();
+    let newcomers: Vec<Web> = (0..3).map(|_| rig.web()).collect();
+    webs[0].ask(1, &long(1)).unwrap();
+    rig.thaw();
+    assert_eq!(webs[0].answer().map(|a| a.status).ok(), Some(200), "to make room");
+    drop(newcomers);
+
+    // After a time: one that has said nothing goes after two seconds.
+    let rig = Rig::well();
+    let _busy = Busy::with(&rig);
+    for round in 0..3u64 {
+        let mut webs: Vec<Web> = (0..4).map(|_| rig.web()).collect();
+        barrier(&rig);
+        rig.freeze();
+        webs.iter_mut().zip(1..).for_each(|(web, n)| web.ask(1, &long(10 * round + n)).unwrap());
+        std::thread::sleep(Duration::from_millis(2_300));
+        rig.thaw();
+        for web in &mut webs {
+            assert_eq!(web.answer().map(|a| a.status).ok(), Some(200), "after a time");
+        }
+    }
+}
+
+/// The machine gives fewer descriptors than the configuration says: those who only hold theirs go, those who ask are served, and
+/// a board that moves is followed.
+#[test]
+fn a_machine_short_of_descriptors_serves_those_who_ask_and_follows_its_board() {
+    let board = Board::start(2).unwrap();
+    let executors: Vec<_> = (0..3).map(|_| Executor::start(well).unwrap()).collect();
+    let listed: Vec<_> =
+        executors.iter().enumerate().map(|(n, e)| member(id(n), e.address, "in_service")).collect();
+    let config = configuration("127.0.0.1:0".parse().unwrap(), board.address, &listed);
+    let front = Front::start_with_descriptors(40, config.clone());
+    assert!(until(|| !board.asked().is_empty()));
+    let over = Arc::<AtomicBool>::default();
+    let mut holders = Vec::new();
+    for _ in 0..60 {
+        let mut web = front.web();
+        web.healthy(1).unwrap();
+        assert_eq!(web.answer().map(|a| a.status).ok(), Some(200), "holder {}", holders.len());
+        // Each says something now and then, so that it is never closed for its silence alone.
+        let over = over.clone();
+        holders.push(std::thread::spawn(move || {
+            while !over.load(Ordering::Relaxed) && web.healthy(1).is_ok() && web.answer().is_ok() {
+                std::thread::sleep(Duration::from_millis(200));
+            }
+        }));
+    }
+    for n in 0..30 {
+        let key = format!("{n:016x}");
+        assert_eq!(front.call(&Ask { key, ..Ask::new(n) }).status, 200, "call {n}");
+    }
+    let other = Board::start(2).unwrap();
+    let mut moved = config;
+    moved["board"] = json!(other.address);
+    front.replace(&moved.to_string());
+    front.signal("-HUP");
+    assert!(until(|| !other.asked().is_empty()));
+    assert!(front.descriptors() <= 40);
+    over.store(true, Ordering::Relaxed);
+    holders.into_iter().for_each(|t| t.join().unwrap());
+}
--- a/crates/badgerwind-cli/tests/platform/main.rs
+++ b/crates/badgerwind-cli/tests/platform/main.rs
@@ -1,5 +1,7 @@
 //! The platform front as a program of its own, between scripted web servers, executors and a notice board.
 
+mod crossings;
+mod endings;
 mod executors;
 mod fleet;
 mod hostile;
--- a/crates/badgerwind-driver/src/driver.rs
+++ b/crates/badgerwind-driver/src/driver.rs
@@ -134,14 +134,19 @@
                 self.tell(Event::List { kind, entries }, out);
             }
             Input::Call(call) => self.call(call, out),
-            Input::CallerLeft { id } => {
+            Input::CallerLeft { id, keeps } => {
                 let Some(held) = self.held.get_mut(&id) else { return };
+                if keeps && held.attempts.iter().any(Attempt::is_out) {
+                    held.content = None; // a further attempt is moot
+                    return self.withhold(&id, out);
+                }
                 let waited = held.owed.take().is_some();
                 if waited {
                     self.owed -= 1;
                 }
                 if waited || held.stream.is_some() {
                     held.content = None;
+                    self.withhold(&id, out);
                     self.forget_if_done(&id);
                     self.tell(Event::ClientGone { id }, out);
                 }
@@ -421,6 +426,17 @@
         self.owed -= 1;
         let (attempts, lag) = (held.attempts.len() as u32, self.now.saturating_sub(held.since));
         out.push(Output::Final { id: id.clone(), origin, answer, attempts, worker, lag });
+        self.withhold(id, out);
+    }
+
+    /// Nobody waits any more: what has not begun to go out stays back.
+    fn withhold(&mut self, id: &RequestId, out: &mut Out<O, C, R>) {
+        let Some(held) = self.held.get(id) else { return };
+        for (attempt, a) in (0..).zip(&held.attempts) {
+            if let (&Attempt::Out { worker, .. }, true) = (a, held.stream != Some(attempt)) {
+                out.push(Output::Withhold { id: id.clone(), attempt, worker });
+            }
+        }
     }
 
     fn forget_if_done(&mut self, id: &RequestId) {
--- a/crates/badgerwind-driver/src/lib.rs
+++ b/crates/badgerwind-driver/src/lib.rs
@@ -105,10 +105,12 @@
     },
     /// A call has come.
     Call(Call<O, C>),
-    /// A caller has left; it is owed nothing any more.
+    /// A caller has left; it is owed nothing any more, and nothing further begins for it.
     CallerLeft {
         /// The call.
         id: RequestId,
+        /// What has begun goes on to its one final answer, since that is remembered.
+        keeps: bool,
     },
     /// A runner has begun a streamed answer.
     StreamBegan {
@@ -259,6 +261,16 @@
         /// Why.
         why: CallOff,
     },
+    /// Nobody waits for the call any more: an attempt of it that has not begun to go out is not to begin, whether or not the
+    /// module may call off what runs. One that has begun goes on; the end of either is reported once.
+    Withhold {
+        /// The call.
+        id: RequestId,
+        /// The attempt.
+        attempt: u32,
+        /// The runner.
+        worker: WorkerId,
+    },
     /// Order copies held, or ask how many stand (0); its end must be reported once.
     Order {
         /// Its name.
--- a/crates/badgerwind-gateway/src/clock.rs
+++ b/crates/badgerwind-gateway/src/clock.rs
@@ -6,21 +6,21 @@
 
 /// A clock; copies agree.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Clock {
+pub struct Clock {
     start: Instant,
     base: Time,
 }
 
 impl Clock {
-    pub(crate) fn start() -> Self {
+    pub fn start() -> Self {
         let base = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Time);
         Clock { start: Instant::now(), base }
     }
-    pub(crate) fn now(&self) -> Time {
+    pub fn now(&self) -> Time {
         self.base + self.start.elapsed().as_micros() as Time
     }
     /// The moment of a time, for timers.
-    pub(crate) fn instant(&self, at: Time) -> Instant {
+    pub fn instant(&self, at: Time) -> Instant {
         self.start + Duration::from_micros(at.saturating_sub(self.base))
     }
 }
--- a/crates/badgerwind-gateway/src/dispatch.rs
+++ b/crates/badgerwind-gateway/src/dispatch.rs
@@ -6,13 +6,13 @@
 use crate::known::Known;
 use crate::metrics::{word, ByOutcome, Metrics};
 use crate::peers::Peers;
-use crate::runners::{Reply, Runners};
+use crate::runners::{Reply, Runners, Stop};
 use crate::shares::Shares;
 use crate::trace::TraceParent;
 use crate::zones::Zones;
 use async_channel::Sender;
 use badgerwind::interface::*;
-use badgerwind_driver::{CallOff, Final, Output};
+use badgerwind_driver::{Final, Output};
 use badgerwind_settings::Settings;
 use futures_lite::FutureExt;
 use smol::Timer;
@@ -68,7 +68,7 @@
 }
 
 /// How an attempt is called off, where it is, what it is of, and when it went out.
-type Out = (Sender<CallOff>, WorkerId, Arc<Content>, Time);
+type Out = (Sender<Stop>, WorkerId, Arc<Content>, Time);
 
 /// Attempts out, and what was heard of those before.
 #[derive(Default)]
@@ -147,7 +147,8 @@
                 origin.answer(&id, ended);
             }
             Output::Attempt { id, attempt, worker, content, limit: _ } => {
-                let (off, called_off) = async_channel::bounded(1);
+                // Room for both words that it may be told.
+                let (off, called_off) = async_channel::bounded(2);
                 if tracing::enabled!(tracing::Level::DEBUG) {
                     let function = &content.settings.functions[content.function].name;
                     let known = self.attempts.known.tell(now, worker, function);
@@ -163,7 +164,12 @@
             Output::CallOff { id, attempt, why, .. } => {
                 // A full channel: called off before. A closed one: it has ended, and its report is on its way.
                 if let Some((off, ..)) = self.attempts.out.get(&(id, attempt)) {
-                    let _ = off.try_send(why);
+                    let _ = off.try_send(Stop::Off(why));
+                }
+            }
+            Output::Withhold { id, attempt, .. } => {
+                if let Some((off, ..)) = self.attempts.out.get(&(id, attempt)) {
+                    let _ = off.try_send(Stop::Withhold);
                 }
             }
             Output::Order { order, worker, function, copies, limit } => {
--- a/crates/badgerwind-gateway/src/engine.rs
+++ b/crates/badgerwind-gateway/src/engine.rs
@@ -15,7 +15,7 @@
 use std::time::{Duration, Instant};
 
 /// A way in and out around the driver: what its calls are made of, and how what the driver asks for leaves.
-pub(crate) trait Backend {
+pub trait Backend {
     /// Whom to answer.
     type Origin;
     /// What a worker needs of a call.
@@ -39,14 +39,14 @@
 }
 
 /// What a backend tells the driver.
-pub(crate) type InputOf<B> =
+pub type InputOf<B> =
     badgerwind_driver::Input<<B as Backend>::Origin, <B as Backend>::Content, <B as Backend>::Reply>;
 /// What the driver asks a backend for.
-pub(crate) type OutputOf<B> = Output<<B as Backend>::Origin, <B as Backend>::Content, <B as Backend>::Reply>;
+pub type OutputOf<B> = Output<<B as Backend>::Origin, <B as Backend>::Content, <B as Backend>::Reply>;
 
 /// What the engine itself needs of the settings that a module runs under.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Terms {
+pub struct Terms {
     pub limits: Limits,
     round: Span,
     load_window: Span,
@@ -55,14 +55,14 @@
 }
 
 impl Terms {
-    pub(crate) fn new(limits: Limits, set: &Settings) -> Self {
+    pub fn new(limits: Limits, set: &Settings) -> Self {
         let &Settings { round, load_window, load_free, load_share, .. } = set;
         Terms { limits, round, load_window, load_free, load_share }
     }
 }
 
 /// What the engine is told beside its inputs.
-pub(crate) enum Control {
+pub enum Control {
     /// Fail what is still owed and end.
     End,
     /// From now on new calls go to this module; the one before answers what it holds and ends. The new one's number
@@ -72,7 +72,7 @@
 
 /// Why the engine has ended.
 #[derive(Debug, PartialEq, Eq)]
-pub(crate) enum EngineEnd {
+pub enum EngineEnd {
     Asked,
     ModuleFailed(String),
 }
@@ -80,7 +80,7 @@
 /// Inputs handed over at once, at the most; what is left waits for the next round.
 const MOST_BATCH: usize = 4096;
 
-pub(crate) struct Engine<B: Backend> {
+pub struct Engine<B: Backend> {
     pub clock: Clock,
     pub inputs: Receiver<InputOf<B>>,
     pub control: Receiver<Control>,
@@ -182,9 +182,9 @@
                     others.iter_mut().for_each(|other| other.push(Input::Parts(parts.clone())));
                     None
                 }
-                Input::CallerLeft { id } | Input::StreamBegan { id, .. } | Input::AttemptEnded { id, .. } => {
-                    holder(id)
-                }
+                Input::CallerLeft { id, .. }
+                | Input::StreamBegan { id, .. }
+                | Input::AttemptEnded { id, .. } => holder(id),
                 Input::OrderEnded { order, .. } => {
                     let number = order.0 >> NUMBERS;
                     self.leaving.iter().position(|l| l.number == number)
@@ -252,7 +252,7 @@
 
 impl<B: Backend> Engine<B> {
     /// Runs until told to end or the module fails. Every call is answered before it returns.
-    pub(crate) async fn run(mut self, decider: Box<dyn Decider + Send>, terms: Terms) -> EngineEnd {
+    pub async fn run(mut self, decider: Box<dyn Decider + Send>, terms: Terms) -> EngineEnd {
         let mut modules = Modules::<B>::new(decider, &terms);
         let mut round = Duration::from_micros(terms.round);
         let (mut batch, mut out) = (Vec::new(), Vec::new());
@@ -262,6 +262,11 @@
             let wake = if batch.is_empty() { modules.next_wake() } else { Some(self.clock.now()) };
             match self.next(wake).await {
                 Next::Control(Control::End) => {
+                    // What was handed over and has not had its turn is owed its answer as well.
+                    while let Ok(input) = self.inputs.try_recv() {
+                        batch.push(input);
+                    }
+                    modules.on(self.clock.now(), batch.drain(..), &mut out);
                     modules.fail_all(self.clock.now(), Failure::Stopped, &mut out);
                     self.carry(&mut out, &mut modules.ration, &mut batch);
                     self.backend.settled(0, Duration::ZERO);
--- a/crates/badgerwind-gateway/src/front.rs
+++ b/crates/badgerwind-gateway/src/front.rs
@@ -60,6 +60,9 @@
     pub module: u64,
 }
 
+/// How often a call whose own sender has left is looked at for others who wait for it.
+const WAITED_FOR: Duration = Duration::from_millis(50);
+
 /// Calls of late, kept for the shadow: so many, and no older than that, in microseconds.
 const MOST_RECENT: usize = 2_000;
 const RECENT: Span = 20_000_000;
@@ -576,7 +579,14 @@
                     Timer::at(self.clock.instant(due)).await;
                     Err(async_channel::RecvError)
                 };
-                Handled::Answer(match answer.recv().or(late).await {
+                // One that leaves no longer waits: the call may go on for nobody else.
+                let gone = async {
+                    conn.gone().await;
+                    None
+                };
+                let answered = async { Some(answer.recv().or(late).await) };
+                let Some(got) = answered.or(gone).await else { return Handled::Gone };
+                Handled::Answer(match got {
                     Ok(answer) => replayed(&answer),
                     Err(_) => {
                         let text = "an earlier message with this id is still under way, or went unanswered";
@@ -589,21 +599,24 @@
                 if self.inputs.send(Input::Call(*call)).await.is_err() {
                     return Handled::Answer(Arc::new(problem(&away(503, "stopping", "the daemon stops"))));
                 }
-                // What must not run twice goes on when its sender leaves, so that the answer can be remembered.
-                let leaves = rules.settings.router.classes[class].effect == Effect::Repeatable;
+                // What must not run twice and has begun goes on when its sender leaves, so that the answer can be remembered.
+                let keeps = rules.settings.router.classes[class].effect != Effect::Repeatable;
                 let gone = async {
                     conn.gone().await;
                     None
                 };
                 let answered = async { Some(answer.recv().await) };
-                let got = answered.or(gone).await;
-                let got = match got {
-                    None if !leaves => return Handled::Gone,
-                    None => {
-                        let _ = self.inputs.send(Input::CallerLeft { id }).await;
-                        return Handled::Gone;
+                let Some(got) = answered.or(gone).await else {
+                    // The same message may have come again meanwhile: then its sender waits there.
+                    let webhook = &rules.settings.webhook;
+                    let sender = &webhook.senders[webhook.routes[route].sender];
+                    let scoped = Id::of(&sender.name, head.headers.get(badgerwind_webhook::ID).unwrap_or(""));
+                    let waited_for = || self.memory().waiting(&scoped).iter().any(|w| !w.is_closed());
+                    while waited_for() && !answer.is_closed() {
+                        Timer::after(WAITED_FOR).await;
                     }
-                    Some(got) => got,
+                    let _ = self.inputs.send(Input::CallerLeft { id, keeps }).await;
+                    return Handled::Gone;
                 };
                 if let Ok((_, _, given)) = &got {
                     let now = self.clock.now();
--- a/crates/badgerwind-gateway/src/lib.rs
+++ b/crates/badgerwind-gateway/src/lib.rs
@@ -6,10 +6,12 @@
 
 mod answers;
 mod callbacks;
-mod clock;
+#[doc(hidden)] // the engine's
+pub mod clock;
 pub mod control;
 mod dispatch;
-mod engine;
+#[doc(hidden)] // for its own tests
+pub mod engine;
 pub mod fleet;
 mod front;
 mod known;
--- a/crates/badgerwind-gateway/src/platform/board.rs
+++ b/crates/badgerwind-gateway/src/platform/board.rs
@@ -1,6 +1,7 @@
 //! The connection to the notice board.
 
 use super::shell::{Input, Shell};
+use super::wire::is_short;
 use badgerwind_platform::board::{Follower, News};
 use badgerwind_platform::config::Places;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
@@ -68,7 +69,11 @@
             };
             match followed.or(changed).await {
                 Some(what) => {
-                    tracing::debug!("the notice board is asked anew: {what}");
+                    let (address, last) = (board.address.get(), board.follower.borrow().last());
+                    tracing::debug!(%address, "the notice board is asked anew: {what}");
+                    if let Some(more) = self.complaints.board.may(self.clock.now()) {
+                        tracing::warn!(%address, last, more, "the notice board: {what}; it is asked again from the last event");
+                    }
                     let changed = async { board.changed.heard().await };
                     async { _ = Timer::after(pause).await }.or(changed).await;
                     pause = (pause * 2).min(LAST_PAUSE);
@@ -82,7 +87,13 @@
         let connect = Async::<TcpStream>::connect(board.address.get());
         let mut stream = match connect.or(late(CONNECT)).await {
             Ok(stream) => stream,
-            Err(e) => return Some(e.to_string()),
+            Err(e) => {
+                if is_short(&e) {
+                    // Those who only hold a connection give way to the news of all executors.
+                    self.clients.evict(self);
+                }
+                return Some(e.to_string());
+            }
         };
         let ask = board.follower.borrow_mut().ask();
         if let Err(e) = stream.write_all(&ask).or(late(CONNECT)).await {
--- a/crates/badgerwind-gateway/src/platform/clients.rs
+++ b/crates/badgerwind-gateway/src/platform/clients.rs
@@ -10,7 +10,8 @@
 use smol::{Async, Timer};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap, HashSet};
-use std::net::TcpListener;
+use std::io::ErrorKind;
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,9 +25,14 @@
 const READS: usize = 4;
 /// How long accepting rests when descriptors are short, so that it does not spin.
 const REST: Duration = Duration::from_millis(20);
+/// Connections taken in before others have their turn: who connects without end would hold up those who ask.
+const ACCEPTS: usize = 16;
+/// Connections asked for their place before a newcomer goes without one.
+const ASKED_FOR_ROOM: usize = 8;
 
 pub(super) struct Connection {
     number: u64,
+    peer: SocketAddr,
     wire: Wire,
     machine: RefCell<Client>,
     opened: Time,
@@ -38,6 +44,8 @@
     stuck: Cell<Option<Time>>,
     asked: Cell<bool>,
     calls: RefCell<BTreeMap<u16, Open>>,
+    /// Its client has closed it.
+    ended: Cell<bool>,
     closing: Cell<bool>,
     dirty: Cell<bool>,
 }
@@ -128,32 +136,50 @@
     }
 
     /// Makes room for one more connection: one on which nothing is open goes; false where there is none.
-    fn evict(&self) -> bool {
-        let connections = self.connections.borrow();
-        let idle = connections.values().filter(|c| !c.closing.get() && c.machine.borrow().open() == 0);
-        // Those that never asked go first, then those that have been silent for longest.
-        let victim = idle.min_by_key(|c| (c.asked.get(), c.machine.borrow().coming(), c.last.get()));
-        if let Some(c) = victim {
-            c.close();
+    pub(super) fn evict(&self, shell: &Shell) -> bool {
+        for _ in 0..ASKED_FOR_ROOM {
+            let connections = self.connections.borrow();
+            let idle = connections.values().filter(|c| c.idle());
+            // Those that never asked go first, then those that have been silent for longest.
+            let Some(victim) =
+                idle.min_by_key(|c| (c.asked.get(), c.machine.borrow().coming(), c.last.get())).cloned()
+            else {
+                return false;
+            };
+            drop(connections);
+            if shell.close_if_idle(&victim) {
+                return true;
+            }
         }
-        victim.is_some()
+        false
     }
 
     /// Closes what has been silent, half said or not taken for too long.
-    pub(super) fn sweep(&self, now: Time) {
-        for c in self.connections.borrow().values() {
-            let m = c.machine.borrow();
+    pub(super) fn sweep(&self, shell: &Shell, now: Time) {
+        let all: Vec<_> = self.connections.borrow().values().cloned().collect();
+        for c in all {
             let since = |at: Option<Time>, span| at.is_some_and(|at| now > at + span);
-            let quiet = m.open() == 0;
+            let quiet = c.idle();
             let silent = quiet && !c.asked.get() && now > c.opened + SILENT;
             let idle = quiet && now > c.last.get() + IDLE;
             let half = quiet && since(c.coming.get(), SILENT);
-            if silent || idle || half || since(c.stuck.get(), SLOW) {
+            if half || since(c.stuck.get(), SLOW) {
                 c.close();
+            } else if silent || idle {
+                shell.close_if_idle(&c);
             }
         }
     }
 
+    /// Reads what has come on all connections: a request is taken once its last byte is here, read or not.
+    pub(super) fn read_all(&self, shell: &Shell) {
+        let all: Vec<_> = self.connections.borrow().values().cloned().collect();
+        for c in all.iter().filter(|c| !c.closing.get()) {
+            while shell.take_in(c) {}
+            self.mark(c.clone());
+        }
+    }
+
     fn held(&self) -> usize {
         let connections = self.connections.borrow();
         self.bodies.get() + connections.values().map(|c| c.machine.borrow().held()).sum::<usize>()
@@ -166,6 +192,12 @@
         self.wire.wake();
     }
 
+    /// Whether nothing is open on it, and every answer was taken.
+    fn idle(&self) -> bool {
+        let m = self.machine.borrow();
+        !self.closing.get() && m.open() == 0 && m.out().is_empty()
+    }
+
     fn flush(&self) {
         let mut m = self.machine.borrow_mut();
         if m.out().is_empty() {
@@ -184,71 +216,147 @@
 impl Shell {
     /// Takes connections in until the front end stops.
     pub(super) async fn accept(self: Rc<Self>, listener: Rc<Async<TcpListener>>) {
+        let mut taken = 0;
         loop {
-            let Ok((stream, _)) = listener.accept().await else {
-                Timer::after(REST).await;
-                continue;
-            };
-            if self.clients.full(&self) {
-                if !self.clients.evict() {
-                    continue; // dropped: a close
+            let evicted = match listener.accept().await {
+                Ok((stream, peer)) => self.admit(stream, peer),
+                Err(e) => {
+                    self.not_accepted(&e);
+                    Timer::after(REST).await;
+                    continue;
                 }
-                // The other one's task has its turn first, so that descriptors are not held twice.
+            };
+            taken += 1;
+            // The evicted one's task has its turn before the next is taken in, so that descriptors are not held twice.
+            if evicted || taken % ACCEPTS == 0 {
                 yield_now().await;
             }
-            let number = self.clients.next.replace(self.clients.next.get() + 1);
-            let now = self.clock.now();
-            let c = Rc::new(Connection {
-                number,
-                wire: Wire::new(stream),
-                machine: RefCell::default(),
-                opened: now,
-                last: Cell::new(now),
-                coming: Cell::default(),
-                stuck: Cell::default(),
-                asked: Cell::default(),
-                calls: RefCell::default(),
-                closing: Cell::default(),
-                dirty: Cell::default(),
-            });
-            self.clients.connections.borrow_mut().insert(number, c.clone());
-            self.tasks.spawn(self.clone().serve(c)).detach();
         }
     }
 
-    async fn serve(self: Rc<Self>, c: Rc<Connection>) {
-        let (mut heard, mut ended) = (Vec::new(), false);
-        while !c.closing.get() {
-            let reads = !ended && !c.machine.borrow().doomed();
-            c.wire.ready(reads, || !c.machine.borrow().out().is_empty()).await;
-            for _ in 0..READS {
-                if !reads || c.closing.get() {
-                    break;
+    /// Takes in what waits to be accepted now: to whom it belongs, it was taken in when the machine took it in.
+    pub(super) fn accept_rest(self: &Rc<Self>, listener: &Async<TcpListener>) {
+        for _ in 0..self.shares.clients {
+            match listener.get_ref().accept() {
+                Ok((stream, peer)) => match Async::new(stream) {
+                    Ok(stream) => _ = self.admit(stream, peer),
+                    Err(e) => self.not_accepted(&e),
+                },
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
+                Err(e) => return self.not_accepted(&e),
+            }
+        }
+    }
+
+    /// Most likely for want of descriptors: one that only holds its own gives it up.
+    fn not_accepted(&self, e: &std::io::Error) {
+        let evicted = self.clients.evict(self);
+        if let Some(more) = self.complaints.accept.may(self.clock.now()) {
+            tracing::warn!(
+                evicted,
+                more,
+                "a connection cannot be accepted: {e}; the descriptor limit is below the configuration's limits.sockets"
+            );
+        }
+    }
+
+    /// A connection comes in; whether another one went for it.
+    fn admit(self: &Rc<Self>, stream: Async<TcpStream>, peer: SocketAddr) -> bool {
+        let full = self.clients.full(self);
+        if full && !self.clients.evict(self) {
+            return false; // dropped: a close
+        }
+        let number = self.clients.next.replace(self.clients.next.get() + 1);
+        let now = self.clock.now();
+        let c = Rc::new(Connection {
+            number,
+            peer,
+            wire: Wire::new(stream),
+            machine: RefCell::default(),
+            opened: now,
+            last: Cell::new(now),
+            coming: Cell::default(),
+            stuck: Cell::default(),
+            asked: Cell::default(),
+            calls: RefCell::default(),
+            ended: Cell::default(),
+            closing: Cell::default(),
+            dirty: Cell::default(),
+        });
+        self.clients.connections.borrow_mut().insert(number, c.clone());
+        self.tasks.spawn(self.clone().serve(c)).detach();
+        full
+    }
+
+    /// Closes a connection on which nothing is open, unless a request has come meanwhile that only was not read yet. Whether it
+    /// was closed.
+    fn close_if_idle(&self, c: &Rc<Connection>) -> bool {
+        let before = c.last.get();
+        self.take_in(c);
+        let closes = c.idle() && (c.ended.get() || c.last.get() == before);
+        if closes {
+            c.close();
+        } else {
+            c.wire.wake();
+        }
+        closes
+    }
+
+    /// Reads what has come on a connection; whether more may be there.
+    fn take_in(&self, c: &Rc<Connection>) -> bool {
+        let mut heard = Vec::new();
+        for _ in 0..READS {
+            if c.ended.get() || c.closing.get() {
+                return false;
+            }
+            let mut scratch = self.scratch.borrow_mut();
+            match c.wire.read(&mut scratch) {
+                Ok(Some(0)) => {
+                    c.ended.set(true);
+                    drop(scratch);
+                    self.left(c);
+                    return false;
                 }
-                let mut scratch = self.scratch.borrow_mut();
-                match c.wire.read(&mut scratch) {
-                    Ok(Some(0)) => ended = true,
-                    Ok(Some(n)) => {
-                        let now = self.clock.now();
-                        c.last.set(now);
-                        let mut m = c.machine.borrow_mut();
-                        m.feed(&scratch[..n], &mut heard);
-                        let coming = if m.coming() { c.coming.get().or(Some(now)) } else { None };
-                        c.coming.set(coming);
-                        drop((m, scratch));
-                        for h in heard.drain(..) {
-                            self.heard(&c, now, h);
-                        }
-                        if n < 4096 {
-                            break; // most likely all there was
-                        }
-                        continue;
+                Ok(Some(n)) => {
+                    let now = self.clock.now();
+                    c.last.set(now);
+                    let mut m = c.machine.borrow_mut();
+                    m.feed(&scratch[..n], &mut heard);
+                    let coming = if m.coming() { c.coming.get().or(Some(now)) } else { None };
+                    c.coming.set(coming);
+                    drop((m, scratch));
+                    for h in heard.drain(..) {
+                        self.heard(c, now, h);
                     }
-                    Ok(None) => {}
-                    Err(_) => c.closing.set(true),
+                    if n < 4096 {
+                        return false; // most likely all there was
+                    }
+                }
+                Ok(None) => return false,
+                Err(_) => {
+                    c.closing.set(true);
+                    return false;
                 }
-                break;
             }
+        }
+        true
+    }
+
+    /// Nobody waits any more for what is open on a connection. Whoever closed it is not told apart from one that still
+    /// reads: the platform's web servers close both ways at once, and what nobody waits for is not to begin.
+    fn left(&self, c: &Connection) {
+        c.machine.borrow_mut().leave();
+        for open in c.calls.take().into_values() {
+            self.clients.forget(&open);
+            self.tell(Input::CallerLeft { id: open.id, keeps: false });
+        }
+    }
+
+    async fn serve(self: Rc<Self>, c: Rc<Connection>) {
+        while !c.closing.get() {
+            c.wire.ready(!c.ended.get(), || !c.machine.borrow().out().is_empty()).await;
+            // Also where nothing more is taken in: a withdrawal or a close behind it counts.
+            self.take_in(&c);
             c.flush();
             let mut m = c.machine.borrow_mut();
             if m.out().is_empty() {
@@ -260,15 +368,12 @@
                 m.doom();
             }
             let over = m.out().is_empty() && m.open() == 0;
-            if over && (ended || m.doomed()) || m.out().len() > self.shares.answers {
+            if over && (c.ended.get() || m.doomed()) || m.floods() || m.out().len() > self.shares.answers {
                 c.closing.set(true);
             }
         }
         self.clients.connections.borrow_mut().remove(&c.number);
-        for open in c.calls.take().into_values() {
-            self.clients.forget(&open);
-            self.tell(Input::CallerLeft { id: open.id });
-        }
+        self.left(&c);
     }
 
     fn heard(&self, c: &Rc<Connection>, now: Time, heard: Heard) {
@@ -278,7 +383,7 @@
             Heard::Withdrawn { number } => {
                 if let Some(open) = c.calls.borrow_mut().remove(&number) {
                     self.clients.forget(&open);
-                    self.tell(Input::CallerLeft { id: open.id });
+                    self.tell(Input::CallerLeft { id: open.id, keeps: false });
                 }
                 return;
             }
@@ -289,7 +394,12 @@
         let f = match fields::read(&params, &self.names) {
             Ok(Asked::Health) => return plain(if self.stopping.get() { 503 } else { 200 }),
             Ok(Asked::Call(f)) => f,
-            Err(_) => return plain(400),
+            Err(e) => {
+                if let Some(more) = self.complaints.request.may(now) {
+                    tracing::warn!(peer = %c.peer, more, "a request cannot be used: {e}; it is answered 400");
+                }
+                return plain(400);
+            }
         };
         let id: RequestId = f.id.as_str().into();
         if self.clients.ids.borrow().contains(&id) {
--- a/crates/badgerwind-gateway/src/platform/executors.rs
+++ b/crates/badgerwind-gateway/src/platform/executors.rs
@@ -1,7 +1,7 @@
 //! The connections to executors: which of them takes what, when one is opened, and what its end proves.
 
 use super::shell::{Content, Input, Shell};
-use super::wire::Wire;
+use super::wire::{is_short, Wire};
 use badgerwind::interface::*;
 use badgerwind_driver::{AttemptEnd, CallOff, OrderId};
 use badgerwind_platform::board::{Listed, News};
@@ -34,6 +34,10 @@
     worker: WorkerId,
     wire: RefCell<Option<Rc<Wire>>>,
     link: RefCell<Link<Out>>,
+    /// The other side has ended it, or has sent what cannot be read: its task acts on it next.
+    over: Cell<Option<Over>>,
+    /// What did not go out ends so.
+    unsent: Cell<Outcome>,
     closing: Cell<bool>,
     dirty: Cell<bool>,
     door: Cell<Door>,
@@ -41,6 +45,13 @@
     kept: Cell<bool>,
 }
 
+/// How the other side ended a connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Over {
+    Closed,
+    Spoilt,
+}
+
 /// How far a new connection has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Door {
@@ -120,6 +131,7 @@
                 _ => e.leaving.or(Some(now)),
             };
         }
+        // What is coming up may reach a newcomer that has the address now.
         for e in all.values_mut().filter(|e| e.gone) {
             e.links.iter().for_each(|c| c.retire());
         }
@@ -159,81 +171,105 @@
         self.put(shell, now, worker, Task::Probe(number), false);
     }
 
-    /// Puts something on one of an executor's connections, with others while connections hold ([`Sharing`]). Where nothing was heard of the executor
-    /// since something was handed over ([`Reach`]), a new connection shows first that it is there: on an old one silence
-    /// would prove nothing.
+    /// Puts something on one of an executor's connections, with others while connections hold ([`Sharing`]). Where nothing was
+    /// heard of the executor since something was handed over ([`Reach`]), a new connection shows first that it is there: on an
+    /// old one silence would prove nothing.
     fn put(&self, shell: &Rc<Shell>, now: Time, worker: WorkerId, task: Task<Out>, anew: bool) {
-        let mut all = self.all.borrow_mut();
-        let Some(e) = all.get_mut(&worker) else {
-            drop(all);
-            return shell.unsent(worker, task, Outcome::ConnectFailed);
-        };
-        let id = match &task {
-            Task::Attempt { id, .. } => id.clone(),
-            _ => "".into(),
-        };
-        let usable = |c: &&Rc<Connection>| !c.closing.get() && c.link.borrow().takes(&id);
-        let idle = |c: &&Rc<Connection>| c.link.borrow().busy() == 0 && c.wire.borrow().is_some();
-        let trusted = !anew && e.reach.trusted(now, self.patience.borrow().span());
-        let pick = e.links.iter().filter(usable).filter(|_| trusted);
-        let mut own = pick.clone().filter(idle).max_by_key(|c| c.link.borrow().used).cloned();
         // What must not run twice is lost with its connection; the others are tried again.
         let once = matches!(&task, Task::Attempt { content, .. } if shell.once(&content.content));
         let together = self.sharing.borrow().together(once);
-        if own.is_none() && together > 1 {
-            let shares = |c: &&Rc<Connection>| {
-                c.wire.borrow().is_some() && !c.kept.get() && c.link.borrow().busy() < together
-            };
-            own = pick.filter(shares).min_by_key(|c| c.link.borrow().busy()).cloned();
-        }
-        if own.is_none() {
-            let opens = anew || e.reach.opens(now);
-            drop(all);
-            let room = opens && (self.open.get() < shell.shares.executors || self.evict(worker));
-            all = self.all.borrow_mut();
-            let Some(e) = all.get_mut(&worker) else { return };
-            let fits = |c: &&Rc<Connection>| c.link.borrow().busy() < shell.transport.streams;
-            // One that is coming up proves as much as another would.
-            let coming = |c: &&Rc<Connection>| c.wire.borrow().is_none();
-            let shared = e.links.iter().filter(usable).filter(fits);
-            let proof = shared.clone().find(coming).filter(|_| !trusted);
-            if let Some(c) = proof {
-                own = Some(c.clone());
-            } else if room {
-                let c = Rc::new(Connection {
-                    worker,
-                    wire: RefCell::default(),
-                    link: RefCell::new(Link::new(now)),
-                    closing: Cell::default(),
-                    dirty: Cell::default(),
-                    door: Cell::new(Door::Unseen),
-                    kept: Cell::default(),
-                });
-                let standing = e.links.iter().filter(usable).count();
-                let all_in_use = trusted && standing > 0;
-                tracing::debug!(worker, standing, trusted, all_in_use, "a connection is opened");
-                e.links.push(c.clone());
-                self.open.set(self.open.get() + 1);
-                shell.tasks.spawn(shell.clone().drive(c.clone(), e.address)).detach();
-                own = Some(c);
-            } else {
-                own = shared.min_by_key(|c| c.link.borrow().busy()).cloned();
-                if own.is_none() && !opens {
-                    // Nothing leads there and its table is full: it turns away unseen.
-                    drop(all);
-                    return shell.unsent(worker, task, Outcome::Full);
-                }
+        let standing = loop {
+            let standing = self.standing(now, worker, &task, (anew, together));
+            // It may have ended, and only not been read to its end: what went out on it would count as sent.
+            match standing {
+                Some(c) if !shell.stands(&c) || !c.takes(&task) => continue,
+                standing => break standing,
             }
-        }
-        drop(all);
+        };
+        let own = standing.or_else(|| self.another(shell, now, worker, &task, anew));
         match own {
             Some(c) => {
                 c.kept.set(once && together == 1);
                 c.link.borrow_mut().push(now, task);
                 self.mark(c);
             }
-            None => shell.unsent(worker, task, Outcome::ConnectFailed),
+            None => {
+                let outcome = match self.all.borrow().get(&worker) {
+                    None => Outcome::ConnectFailed,
+                    // Nothing leads there and its table is full: it turns away unseen.
+                    Some(e) if !anew && !e.reach.opens(now) => Outcome::Full,
+                    // No descriptor is left here: that tells nothing of the executor.
+                    Some(_) => Outcome::Moot,
+                };
+                shell.unsent(worker, task, outcome);
+            }
+        }
+    }
+
+    /// A standing connection on which nothing is, or that may be shared.
+    fn standing(
+        &self,
+        now: Time,
+        worker: WorkerId,
+        task: &Task<Out>,
+        (anew, together): (bool, usize),
+    ) -> Option<Rc<Connection>> {
+        let all = self.all.borrow();
+        let e = all.get(&worker)?;
+        if anew || !e.reach.trusted(now, self.patience.borrow().span()) {
+            return None;
+        }
+        let pick = e.links.iter().filter(|c| c.takes(task));
+        let own = pick.clone().filter(|c| c.idle()).max_by_key(|c| c.link.borrow().used);
+        let shares = |c: &&Rc<Connection>| {
+            c.wire.borrow().is_some() && !c.kept.get() && c.link.borrow().busy() < together
+        };
+        let shared = || pick.filter(shares).min_by_key(|c| c.link.borrow().busy());
+        own.or_else(|| shared().filter(|_| together > 1)).cloned()
+    }
+
+    /// A connection beside the standing ones: one that is coming up, a new one, or where there is room for none the least busy.
+    fn another(
+        &self,
+        shell: &Rc<Shell>,
+        now: Time,
+        worker: WorkerId,
+        task: &Task<Out>,
+        anew: bool,
+    ) -> Option<Rc<Connection>> {
+        let opens = self.all.borrow().get(&worker)?.reach.opens(now) || anew;
+        let room = opens && (self.open.get() < shell.shares.executors || self.evict(worker));
+        let mut all = self.all.borrow_mut();
+        let e = all.get_mut(&worker)?;
+        let trusted = !anew && e.reach.trusted(now, self.patience.borrow().span());
+        let shared =
+            e.links.iter().filter(|c| c.takes(task) && c.link.borrow().busy() < shell.transport.streams);
+        // One that is coming up proves as much as another would.
+        let proof = shared.clone().find(|c| c.wire.borrow().is_none()).filter(|_| !trusted);
+        if proof.is_some() {
+            return proof.cloned();
+        }
+        if !room {
+            return shared.min_by_key(|c| c.link.borrow().busy()).cloned();
         }
+        let c = Rc::new(Connection {
+            worker,
+            wire: RefCell::default(),
+            link: RefCell::new(Link::new(now)),
+            over: Cell::default(),
+            unsent: Cell::new(Outcome::ConnectFailed),
+            closing: Cell::default(),
+            dirty: Cell::default(),
+            door: Cell::new(Door::Unseen),
+            kept: Cell::default(),
+        });
+        let standing = e.links.iter().filter(|c| c.takes(task)).count();
+        let all_in_use = trusted && standing > 0;
+        tracing::debug!(worker, standing, trusted, all_in_use, "a connection is opened");
+        e.links.push(c.clone());
+        self.open.set(self.open.get() + 1);
+        shell.tasks.spawn(shell.clone().drive(c.clone(), e.address)).detach();
+        Some(c)
     }
 
     /// Closes the connection that has been idle for longest; false where none is.
@@ -302,12 +338,21 @@
             }
             break;
         }
-        for end in ends {
-            match end {
-                // Called off before it went out: it never ran, and is not to go out any more.
-                End::Unsent(task) => shell.unsent(worker, task, Outcome::ConnectFailed),
-                end => shell.end(worker, end),
-            }
+        // Called off before it went out: it never ran, and is not to go out any more. Only a time-out says something of the
+        // way there.
+        let unsent = match why {
+            CallOff::Cancelled => Outcome::Cancelled,
+            CallOff::TimedOut => Outcome::ConnectFailed,
+        };
+        ends.into_iter().for_each(|end| shell.end(worker, end, unsent));
+    }
+
+    /// Nobody waits for an attempt any more: it does not begin.
+    pub(super) fn withhold(&self, shell: &Shell, worker: WorkerId, id: &RequestId, attempt: u32) {
+        let links = self.all.borrow().get(&worker).map(|e| e.links.clone()).unwrap_or_default();
+        let mut ends = Vec::new();
+        if links.iter().any(|c| c.link.borrow_mut().withhold(id, attempt, &mut ends)) {
+            ends.into_iter().for_each(|end| shell.end(worker, end, Outcome::Moot));
         }
     }
 
@@ -346,6 +391,15 @@
         self.link.borrow().busy() == 0 && self.wire.borrow().is_some()
     }
 
+    /// Whether it takes something new.
+    fn takes(&self, task: &Task<Out>) -> bool {
+        let id = match task {
+            Task::Attempt { id, .. } => id,
+            _ => "",
+        };
+        !self.closing.get() && self.over.get().is_none() && self.link.borrow().takes(id)
+    }
+
     fn close(&self) {
         self.closing.set(true);
         if let Some(wire) = &*self.wire.borrow() {
@@ -353,9 +407,13 @@
         }
     }
 
-    /// Takes nothing new; closed at once where nothing is on it.
+    /// Takes nothing new; closed at once where nothing is out on it.
     fn retire(&self) {
-        if self.idle() {
+        self.link.borrow_mut().retire();
+        if self.wire.borrow().is_none() {
+            self.unsent.set(Outcome::Moot);
+            self.close();
+        } else if self.idle() {
             self.close();
         }
     }
@@ -384,12 +442,7 @@
             Err(_) => true,
         };
         drop(link);
-        for end in ends {
-            match end {
-                End::Unsent(task) => self.unsent(c.worker, task, Outcome::ConnectFailed),
-                end => self.end(c.worker, end),
-            }
-        }
+        ends.into_iter().for_each(|end| self.end(c.worker, end, Outcome::ConnectFailed));
         if failed {
             self.broken(c, false);
         }
@@ -434,14 +487,15 @@
         }
     }
 
-    fn end(&self, worker: WorkerId, end: End<Out>) {
+    /// Tells how something ended; `unsent` is what became of one that never went out.
+    fn end(&self, worker: WorkerId, end: End<Out>, unsent: Outcome) {
         match end {
             End::Attempt(id, attempt, end) => {
                 self.tell(Input::AttemptEnded { id, attempt, end });
             }
             End::Order(order, outcome, copies) => self.tell(Input::OrderEnded { order, outcome, copies }),
             End::Probe(outcome) => self.tell(Input::ProbeEnded { worker, outcome, report: None }),
-            End::Unsent(task) => self.unsent(worker, task, Outcome::ConnectFailed),
+            End::Unsent(task) => self.unsent(worker, task, unsent),
         }
     }
 
@@ -464,7 +518,7 @@
                     let task = Task::Attempt { id, attempt, content, limit };
                     self.executors.put(self, self.clock.now(), c.worker, task, true);
                 }
-                end => self.end(c.worker, end),
+                end => self.end(c.worker, end, c.unsent.get()),
             }
         }
     }
@@ -498,7 +552,7 @@
             );
             self.executors.reach(c.worker, |r| r.turned_away(now, fastrand::f64()));
         }
-        self.broken(&c, false);
+        self.broken(&c, c.over.get() == Some(Over::Spoilt));
         *c.wire.borrow_mut() = None;
         let mut all = self.executors.all.borrow_mut();
         if let Some(e) = all.get_mut(&c.worker) {
@@ -520,6 +574,9 @@
             Ok(stream) => stream,
             Err(e) => {
                 let took = self.clock.now() - began;
+                if is_short(&e) {
+                    self.short(c, &e);
+                }
                 return tracing::debug!(worker = c.worker, took, "not connected: {e}");
             }
         };
@@ -530,38 +587,12 @@
         *c.wire.borrow_mut() = Some(Rc::new(Wire::new(stream)));
         self.executors.reach(c.worker, |r| _ = r.heard());
         self.push_out(c);
-        let mut ends = Vec::new();
-        while !c.closing.get() {
+        while !c.closing.get() && c.over.get().is_none() {
             let Some(wire) = c.wire.borrow().clone() else { return };
             wire.ready(true, || !c.link.borrow().out().is_empty()).await;
-            if c.closing.get() {
+            if c.closing.get() || !self.stands(c) {
                 return;
             }
-            for _ in 0..READS {
-                let mut scratch = self.scratch.borrow_mut();
-                let n = match wire.read(&mut scratch) {
-                    Ok(Some(0)) | Err(_) => return,
-                    Ok(Some(n)) => n,
-                    Ok(None) => break,
-                };
-                let now = self.clock.now();
-                self.executors.word(now, c.worker);
-                let fed = c.link.borrow_mut().feed(now, &scratch[..n], &mut ends);
-                drop(scratch);
-                for end in ends.drain(..) {
-                    if matches!(end, End::Attempt(..)) {
-                        self.executors.sharing.borrow_mut().answered();
-                    }
-                    self.at_the_door(c, &end);
-                    self.end(c.worker, end);
-                }
-                if fed.is_err() {
-                    return self.broken(c, true);
-                }
-                if n < 4096 {
-                    break;
-                }
-            }
             if !c.link.borrow().out().is_empty() {
                 self.push_out(c);
             }
@@ -570,4 +601,63 @@
             }
         }
     }
+
+    /// Reads what has come on a connection; false where the other side has ended it.
+    fn stands(&self, c: &Rc<Connection>) -> bool {
+        let Some(wire) = c.wire.borrow().clone() else { return true };
+        let mut ends = Vec::new();
+        for _ in 0..READS {
+            if c.over.get().is_some() {
+                break;
+            }
+            let mut scratch = self.scratch.borrow_mut();
+            let n = match wire.read(&mut scratch) {
+                Ok(Some(0)) | Err(_) => {
+                    c.over.set(Some(Over::Closed));
+                    break;
+                }
+                Ok(Some(n)) => n,
+                Ok(None) => break,
+            };
+            let now = self.clock.now();
+            self.executors.word(now, c.worker);
+            let fed = c.link.borrow_mut().feed(now, &scratch[..n], &mut ends);
+            drop(scratch);
+            for end in ends.drain(..) {
+                if matches!(end, End::Attempt(..)) {
+                    self.executors.sharing.borrow_mut().answered();
+                }
+                self.at_the_door(c, &end);
+                self.end(c.worker, end, Outcome::ConnectFailed);
+            }
+            if let Err(e) = fed {
+                c.over.set(Some(Over::Spoilt));
+                if let Some(more) = self.complaints.answer.may(now) {
+                    let worker = format_args!("s-{:08x}", c.worker);
+                    tracing::warn!(%worker, more, "an executor sent {e}; its connection is broken off");
+                }
+            }
+            if n < 4096 {
+                break;
+            }
+        }
+        if c.over.get().is_some() {
+            wire.wake();
+        }
+        c.over.get().is_none()
+    }
+
+    /// No descriptor was to be had: that tells nothing of the executor. An idle connection gives its own up.
+    fn short(&self, c: &Connection, e: &std::io::Error) {
+        c.unsent.set(Outcome::Moot);
+        let evicted = self.executors.evict(c.worker) || self.clients.evict(self);
+        if let Some(more) = self.complaints.dial.may(self.clock.now()) {
+            tracing::warn!(
+                evicted,
+                more,
+                "no connection to an executor can be opened: {e}; the limits of the machine are below the \
+                 configuration's limits.sockets"
+            );
+        }
+    }
 }
--- a/crates/badgerwind-gateway/src/platform/mod.rs
+++ b/crates/badgerwind-gateway/src/platform/mod.rs
@@ -4,6 +4,7 @@
 mod board;
 mod clients;
 mod executors;
+mod seldom;
 mod shell;
 mod wire;
 
@@ -13,7 +14,7 @@
 use badgerwind::Router;
 use badgerwind_driver::{Decider, Limits};
 use badgerwind_platform::board::Follower;
-use badgerwind_platform::config::{self, BadConfig, Config};
+use badgerwind_platform::config::{self, BadConfig, Config, Identity};
 use board::Board;
 use futures_lite::{FutureExt, StreamExt};
 use shell::{Platform, Shell};
@@ -27,6 +28,9 @@
 
 /// How long requests still come after SIGTERM (PROTOCOL page, "Figures"), and a little more.
 const LATE_ARRIVALS: Duration = Duration::from_millis(750);
+/// The end comes so long after SIGTERM and the longest deadline, whatever is still open: what came last has had its time by
+/// then, and SIGKILL comes 0.7 s after it.
+const LAST_WORD: Duration = Duration::from_millis(650);
 /// The longest deadline counts as this at the least.
 const LEAST_DEADLINE: Duration = Duration::from_secs(3);
 /// Connections that may wait to be accepted.
@@ -140,14 +144,24 @@
             }
         })
         .detach();
-    let accepting = tasks.spawn(shell.clone().accept(listener));
+    let accepting = tasks.spawn(shell.clone().accept(listener.clone()));
     let longest = config.router.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
     tracing::info!(name = %config.name, %address, sockets = config.limits.sockets, "serving");
+    let identity = config.identity();
     drop(config);
     let ended = tasks.spawn(engine.run(decider, terms));
+    let mut signals = signals;
     let stop = async {
-        shell.signals(signals, &options.config, &board).await;
-        shell.stop(accepting, Duration::from_micros(longest).max(LEAST_DEADLINE)).await;
+        shell.signals(&mut signals, (&options.config, &identity), &board).await;
+        let longest = Duration::from_micros(longest).max(LEAST_DEADLINE);
+        let further = async {
+            // One that is told twice to stop stops no sooner: what it took is still owed.
+            while let Some(signal) = signals.next().await {
+                tracing::info!(?signal, "stopping already");
+            }
+            futures_lite::future::pending().await
+        };
+        shell.stop((accepting, listener), longest).or(further).await;
         let _ = control.send(Control::End).await;
         futures_lite::future::pending::<EngineEnd>().await
     };
@@ -164,40 +178,61 @@
         loop {
             Timer::after(SWEEP).await;
             let now = self.clock.now();
-            self.clients.sweep(now);
+            self.clients.sweep(&self, now);
             self.executors.sweep(&self, now);
         }
     }
 
     /// Takes SIGHUP until SIGTERM or SIGINT comes.
-    async fn signals(&self, mut signals: Signals, path: &Path, board: &Board) {
+    async fn signals(&self, signals: &mut Signals, (path, identity): (&Path, &Identity), board: &Board) {
         while let Some(signal) = signals.next().await {
-            match signal {
-                Ok(Signal::Hup) => match load(path) {
-                    Ok(config) => {
-                        tracing::info!(board = %config.board, "the configuration was read again");
-                        board.address.set(config.board);
-                        board.changed.tell();
+            if !matches!(signal, Ok(Signal::Hup)) {
+                return;
+            }
+            let file = || path.display().to_string();
+            let read = load(path).and_then(|new| {
+                let changes =
+                    identity.changes(&new).map_err(|error| PlatformError::Config { file: file(), error })?;
+                Ok((new.board, changes))
+            });
+            match read {
+                Ok((address, changes)) => {
+                    tracing::info!(board = %address, "the configuration was read again: the notice board's address is taken over");
+                    if !changes.is_empty() {
+                        let what = changes.join(", ");
+                        tracing::warn!(
+                            "{}: {what} changed as well; these hold from the next start on",
+                            file()
+                        );
                     }
-                    Err(e) => tracing::error!("the configuration stays as it was: {e}"),
-                },
-                _ => return,
+                    board.address.set(address);
+                    board.changed.tell();
+                }
+                Err(e) => tracing::error!("the configuration stays as it was: {e}"),
             }
         }
     }
 
     /// Answers what still comes and what is open, until nothing is or the time is up.
-    async fn stop(&self, accepting: smol::Task<()>, longest: Duration) {
+    async fn stop(
+        self: &Rc<Self>,
+        (accepting, listener): (smol::Task<()>, Rc<Async<TcpListener>>),
+        longest: Duration,
+    ) {
         self.stopping.set(true);
         let began = Instant::now();
         tracing::info!(open = self.clients.open(), "stopping");
         Timer::after(LATE_ARRIVALS).await;
-        drop(accepting);
+        // What the machine took in by now came in time, whether or not this process has had its turn since.
+        self.accept_rest(&listener);
+        drop((accepting, listener));
+        self.clients.read_all(self);
         self.closed.set(true);
-        while (self.clients.open() > 0 || !self.clients.all_sent())
-            && began.elapsed() < longest + LATE_ARRIVALS / 2
-        {
+        while (self.clients.open() > 0 || !self.clients.all_sent()) && began.elapsed() < longest + LAST_WORD {
             Timer::after(Duration::from_millis(10)).await;
         }
+        // What came too late is told so, rather than left without a word.
+        self.clients.read_all(self);
+        tracing::info!(open = self.clients.open(), took = ?began.elapsed(), "stopped");
     }
 }
--- a/crates/badgerwind-gateway/src/platform/shell.rs
+++ b/crates/badgerwind-gateway/src/platform/shell.rs
@@ -2,6 +2,7 @@
 
 use super::clients::Clients;
 use super::executors::Executors;
+use super::seldom::Complaints;
 use crate::clock::Clock;
 use crate::engine::{Backend, InputOf, OutputOf};
 use crate::metrics::word;
@@ -51,6 +52,7 @@
     pub clients: Clients,
     pub executors: Executors,
     pub peers: Option<Peers>,
+    pub complaints: Complaints,
     /// SIGTERM has come.
     pub stopping: Cell<bool>,
     /// The time in which calls still come after it is over.
@@ -67,6 +69,8 @@
 
 /// The longest message.
 const MESSAGE: usize = 256;
+/// Messages taken in before others have their turn.
+const MESSAGES: usize = 32;
 
 impl Shell {
     /// A shell and its sockets for messages. `inputs` leads to the engine.
@@ -92,6 +96,7 @@
             clients: Clients::default(),
             executors: Executors::new(config.transport.connect_timeout),
             peers,
+            complaints: Complaints::default(),
             stopping: Cell::new(false),
             closed: Cell::new(false),
         }))
@@ -118,13 +123,26 @@
 
     /// Hands on what comes from front ends of the tier, for ever.
     pub(super) async fn listen(&self, shell: &Shell) {
-        let mut buf = [0u8; MESSAGE + 1];
+        let (mut buf, mut heard) = ([0u8; MESSAGE + 1], 0);
         loop {
             let Ok((n, from)) = self.socket.recv_from(&mut buf).await else {
                 smol::Timer::after(Duration::from_millis(20)).await;
                 continue;
             };
+            heard += 1;
+            if heard % MESSAGES == 0 {
+                futures_lite::future::yield_now().await; // a flood holds up nobody
+            }
             let number = self.peers.iter().position(|p| *p == from).map(|n| n as u32);
+            if number.is_none() || n > MESSAGE {
+                if let Some(more) = shell.complaints.datagram.may(shell.clock.now()) {
+                    tracing::warn!(
+                        more,
+                        "a datagram of {n} bytes or more from {from} is passed over: {MESSAGE} are the most, from an address of \
+                         the configuration's peers"
+                    );
+                }
+            }
             if let Some(from) = number.filter(|&f| n <= MESSAGE && f != self.own) {
                 let bytes = buf[..n].to_vec();
                 if shell.inputs.len() < shell.shares.open {
@@ -190,6 +208,9 @@
             Output::CallOff { id, attempt, worker, why } => {
                 shell.executors.call_off(shell, worker, &id, attempt, why);
             }
+            Output::Withhold { id, attempt, worker } => {
+                shell.executors.withhold(shell, worker, &id, attempt);
+            }
             Output::Order { order, worker, function, copies, .. } => {
                 tracing::debug!(order = order.0, worker, %function, copies, "order");
                 shell.executors.order(shell, now, worker, order, &function, copies);
--- a/crates/badgerwind-gateway/src/runners.rs
+++ b/crates/badgerwind-gateway/src/runners.rs
@@ -37,9 +37,18 @@
 /// Pieces of a streamed answer that wait for a slow sender; beyond them its runner waits.
 const PIECES: usize = 16;
 
+/// What an attempt's task is told.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Stop {
+    /// It is called off.
+    Off(CallOff),
+    /// Nobody waits for it: it is not to begin.
+    Withhold,
+}
+
 enum Race<T> {
     Ended(T),
-    Off(CallOff),
+    Off(Stop),
 }
 
 impl Runners {
@@ -140,14 +149,28 @@
         attempt: u32,
         worker: WorkerId,
         content: &Content,
-        called_off: Receiver<CallOff>,
+        called_off: Receiver<Stop>,
         report: &Sender<Input>,
     ) -> AttemptEnd<Reply> {
         let Some(pool) = self.pool(worker) else { return AttemptEnd::plain(Outcome::ConnectFailed) };
+        let told = || async {
+            match called_off.recv().await {
+                Ok(stop) => stop,
+                Err(_) => futures_lite::future::pending().await,
+            }
+        };
+        // Until the connection is up nothing has begun, and nothing has to be stopped at the runner.
+        let way = match async { Race::Off(told().await) }.or(async { Race::Ended(pool.way().await) }).await {
+            Race::Ended(Ok(way)) => way,
+            Race::Ended(Err(e)) => return failed(&e),
+            Race::Off(Stop::Withhold) => return AttemptEnd::plain(Outcome::Moot),
+            Race::Off(Stop::Off(CallOff::Cancelled)) => return AttemptEnd::plain(Outcome::Cancelled),
+            Race::Off(Stop::Off(CallOff::TimedOut)) => return AttemptEnd::plain(Outcome::ConnectFailed),
+        };
         let request = self.call(id, attempt, content);
         let streaming = content.settings.router.classes[content.class].streaming;
         let mut call = Box::pin(async {
-            let mut answer = match pool.begin(&request).await {
+            let mut answer = match way.send(&request).await {
                 Ok(answer) => answer,
                 Err(e) => return failed(&e),
             };
@@ -164,16 +187,13 @@
             }
             ended(&answer.finish(), body)
         });
-        let off = async {
-            match called_off.recv().await {
-                Ok(why) => Race::Off(why),
-                Err(_) => futures_lite::future::pending().await,
+        let why = loop {
+            match async { Race::Ended((&mut call).await) }.or(async { Race::Off(told().await) }).await {
+                Race::Ended(end) => return end,
+                Race::Off(Stop::Withhold) => {} // it has begun
+                Race::Off(Stop::Off(why)) => break why,
             }
         };
-        let why = match async { Race::Ended((&mut call).await) }.or(off).await {
-            Race::Ended(end) => return end,
-            Race::Off(why) => why,
-        };
         let outcome = match why {
             CallOff::Cancelled => Outcome::Cancelled,
             CallOff::TimedOut => Outcome::Timeout,
--- a/crates/badgerwind-http/src/client.rs
+++ b/crates/badgerwind-http/src/client.rs
@@ -88,6 +88,13 @@
     inside: Mutex<Inside>,
 }
 
+/// A connection on which nothing has gone out yet. Dropped, nothing will.
+pub struct Way<'a> {
+    pool: &'a Pool,
+    stream: Stream,
+    place: Place<'a>,
+}
+
 /// A connection's place in the pool; given up when it is dropped.
 struct Place<'a>(&'a Pool);
 
@@ -192,9 +199,22 @@
 
     /// Sends a request and reads the answer's head.
     pub async fn begin(&self, request: &Exchange) -> Result<Answer<'_>, ExchangeError> {
-        let (mut stream, place) = self.connection().await?;
+        self.way().await?.send(request).await
+    }
+
+    /// A connection for one request, before anything of it goes out.
+    pub async fn way(&self) -> Result<Way<'_>, ExchangeError> {
+        let (stream, place) = self.connection().await?;
+        Ok(Way { pool: self, stream, place })
+    }
+}
+
+impl<'a> Way<'a> {
+    /// Sends a request and reads the answer's head.
+    pub async fn send(self, request: &Exchange) -> Result<Answer<'a>, ExchangeError> {
+        let Way { pool, mut stream, place } = self;
         let broke = |e: std::io::Error| ExchangeError::Reset(e.to_string());
-        stream.write_all(&request.bytes(self.address)).await.map_err(broke)?;
+        stream.write_all(&request.bytes(pool.address)).await.map_err(broke)?;
         stream.flush().await.map_err(broke)?;
         let mut buf = Vec::new();
         let mut end = head::HeadEnd::default();
@@ -210,7 +230,7 @@
                 if head.status < 200 {
                     continue; // RFC 9110 section 15.2: read on to the final answer
                 }
-                let body = Body::new(head.framing, self.bounds().body_bytes);
+                let body = Body::new(head.framing, pool.bounds().body_bytes);
                 let body = body.map_err(|e| ExchangeError::Malformed(e.to_string()))?;
                 return Ok(Answer { head, body, buf, stream, place });
             }
--- a/crates/badgerwind-instance/src/lib.rs
+++ b/crates/badgerwind-instance/src/lib.rs
@@ -150,7 +150,7 @@
 }
 
 /// The words by which places are named outside, in their order.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Names {
     /// Request classes.
     pub classes: Vec<String>,
@@ -178,7 +178,7 @@
 }
 
 /// Figures that concern a shell rather than the module.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Transport {
     /// A connection not made by then has failed.
     pub connect_timeout: Span,
--- a/crates/badgerwind-platform/src/board.rs
+++ b/crates/badgerwind-platform/src/board.rs
@@ -2,6 +2,7 @@
 
 use crate::config::Places;
 use badgerwind::interface::{Availability, ListKind, WorkerEntry, WorkerId};
+use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
 /// Bytes of a record.
@@ -57,9 +58,34 @@
     last: u64,
     /// Events were missing from the last event on, so that all is asked for.
     from_start: bool,
+    /// Events of before, told again. Handed on one by one they would bring back for a moment what has drained or gone since;
+    /// so they are gathered until they have caught up with what was told before.
+    replay: Option<Replay>,
     come: Vec<u8>,
 }
 
+/// The list as it was after some event.
+#[derive(Clone, Debug, Default)]
+struct Replay {
+    at: u64,
+    all: BTreeMap<WorkerId, Listed>,
+}
+
+impl Replay {
+    fn take(&mut self, number: u64, news: News) {
+        self.at = number;
+        if news.kind != ListKind::Changes {
+            self.all.clear();
+        }
+        for l in news.entries {
+            match l.entry.availability {
+                Availability::Gone => _ = self.all.remove(&l.entry.worker),
+                _ => _ = self.all.insert(l.entry.worker, l),
+            }
+        }
+    }
+}
+
 impl Follower {
     /// One that has all up to this event.
     pub fn new(last: u64) -> Self {
@@ -69,6 +95,7 @@
     /// A new connection begins: what is to be written on it.
     pub fn ask(&mut self) -> [u8; 8] {
         self.come.clear();
+        self.replay = None;
         if self.from_start { 0 } else { self.last }.to_be_bytes()
     }
 
@@ -100,18 +127,21 @@
             return Err(BadFrame::Length(frame.len()));
         };
         let number = u64::from_be_bytes(*number);
+        let at = self.replay.as_ref().map_or(self.last, |r| r.at);
         let kind = match kind {
-            0 if number > self.last => return Err(self.gap(number)),
+            0 if number > at => return Err(self.gap(number)),
+            // While events are told again it says no more than how far that has come.
             0 => return Ok(()),
             1 => ListKind::Whole,
             2 => ListKind::Changes,
             other => return Err(BadFrame::Kind(*other)),
         };
-        if number <= self.last && !(self.from_start && kind == ListKind::Whole) {
+        let begins = self.from_start && self.replay.is_none() && kind == ListKind::Whole;
+        if number <= at && !begins {
             return Ok(()); // had before
         }
         // A whole list needs nothing before it.
-        if number > self.last + 1 && kind == ListKind::Changes {
+        if number > at + 1 && kind == ListKind::Changes {
             return Err(self.gap(number));
         }
         if payload.len() % RECORD != 0 {
@@ -119,14 +149,36 @@
         }
         let entries = payload.chunks_exact(RECORD).map(|r| record(places, r)).collect::<Option<Vec<_>>>();
         let entries = entries.ok_or(BadFrame::Record)?;
-        (self.last, self.from_start) = (number, false);
-        news.push(News { kind, entries });
+        let told = News { kind, entries };
+        if begins {
+            self.replay = Some(Replay::default());
+        }
+        match &mut self.replay {
+            Some(replay) => {
+                replay.take(number, told);
+                self.caught_up(news);
+            }
+            None => {
+                self.last = number;
+                news.push(told);
+            }
+        }
         Ok(())
     }
 
+    /// Hands on what was told again once it has reached the last event had.
+    fn caught_up(&mut self, news: &mut Vec<News>) {
+        let last = self.last;
+        if let Some(replay) = self.replay.take_if(|r| r.at >= last) {
+            (self.last, self.from_start) = (replay.at, false);
+            news.push(News { kind: ListKind::Whole, entries: replay.all.into_values().collect() });
+        }
+    }
+
     fn gap(&mut self, came: u64) -> BadFrame {
+        let had = self.replay.as_ref().map_or(self.last, |r| r.at);
         self.from_start = true;
-        BadFrame::Gap { had: self.last, came }
+        BadFrame::Gap { had, came }
     }
 }
 
--- a/crates/badgerwind-platform/src/client.rs
+++ b/crates/badgerwind-platform/src/client.rs
@@ -12,6 +12,9 @@
 pub const BODY: usize = 16 * 1024;
 /// Bytes of records that belong to nothing, after which the connection is not read on.
 const STRAY: usize = 64 * 1024;
+/// Bytes read past on a connection that takes in nothing more, so that an abort or a close behind them is still seen;
+/// one that goes on beyond them has left its open requests by its own doing.
+const PASSED_OVER: usize = 64 * 1024 * 1024;
 
 /// What has come over a connection.
 #[derive(Debug, PartialEq, Eq)]
@@ -67,19 +70,36 @@
     /// Bytes held for requests that are coming in.
     held: usize,
     doomed: bool,
+    /// Nobody can say where the next record begins.
+    unreadable: bool,
+    passed_over: usize,
 }
 
 impl Client {
-    /// Takes bytes in. What cannot be used is answered by itself.
+    /// Takes bytes in. What cannot be used is answered by itself. Of a doomed connection only withdrawals still count.
     pub fn feed(&mut self, mut bytes: &[u8], heard: &mut Vec<Heard>) {
-        while !self.doomed {
+        while !self.unreadable {
             match self.decoder.next(&mut bytes) {
+                Ok(Some(piece)) if self.doomed => self.passed_over(&piece, heard),
                 Ok(Some(piece)) => self.piece(&piece, heard),
                 Ok(None) => return,
-                // Nobody can say where the next record begins.
-                Err(_) => self.doom(),
+                Err(_) => {
+                    self.doom();
+                    self.unreadable = true;
+                }
             }
         }
+        self.passed_over = self.passed_over.saturating_add(bytes.len());
+    }
+
+    fn passed_over(&mut self, piece: &Piece, heard: &mut Vec<Heard>) {
+        self.passed_over = self.passed_over.saturating_add(piece.bytes.len());
+        let number = piece.head.number;
+        let abort = piece.head.kind == fcgi::ABORT_REQUEST && piece.last;
+        // Of a doomed connection all slots are open ones.
+        if abort && self.slots.remove(&number).is_some() {
+            heard.push(Heard::Withdrawn { number });
+        }
     }
 
     fn piece(&mut self, piece: &Piece, heard: &mut Vec<Heard>) {
@@ -244,11 +264,23 @@
         coming.into_iter().for_each(|n| self.refuse(n, 400));
     }
 
+    /// The client has closed its connection: nothing is owed, and nothing more comes in.
+    pub fn leave(&mut self) {
+        self.doomed = true;
+        self.slots.clear();
+        self.held = 0;
+    }
+
     /// Whether nothing more is taken in.
     pub fn doomed(&self) -> bool {
         self.doomed
     }
 
+    /// Whether it sends on and on after its connection takes in nothing more.
+    pub fn floods(&self) -> bool {
+        self.passed_over > PASSED_OVER
+    }
+
     /// Requests owed an answer.
     pub fn open(&self) -> usize {
         self.slots.values().filter(|s| matches!(s, Slot::Open)).count()
--- a/crates/badgerwind-platform/src/config.rs
+++ b/crates/badgerwind-platform/src/config.rs
@@ -205,7 +205,71 @@
     Ok(Listed { entry, address: m.host_port })
 }
 
+/// What makes a configuration this front end's: what it was started with, and goes by until its end.
+#[derive(Clone, Debug)]
+pub struct Identity {
+    name: String,
+    listen: SocketAddr,
+    limits: Limits,
+    peer_listen: Option<SocketAddr>,
+    peers: Vec<SocketAddr>,
+    peers_all: Option<SocketAddr>,
+    router: Settings,
+    names: Names,
+    transport: Transport,
+}
+
+impl Identity {
+    /// What another configuration changes beside the notice board. One that is another front end's, or whose places stand for
+    /// other names, is refused: an executor's zone or a request's class would mean something else from one moment to the next.
+    pub fn changes(&self, new: &Config) -> Result<Vec<&'static str>, BadConfig> {
+        let theirs = |place: &str, own: String, other: String| {
+            let what = format!(
+                "is {other} where this front end has {own}; it is another's file, or needs a restart"
+            );
+            Err(bad(place, what))
+        };
+        if new.name != self.name {
+            return theirs("name", format!("{:?}", self.name), format!("{:?}", new.name));
+        }
+        if new.listen != self.listen {
+            return theirs("listen", self.listen.to_string(), new.listen.to_string());
+        }
+        let named = [
+            ("settings: classes", &self.names.classes, &new.names.classes),
+            ("settings: tenants", &self.names.tenants, &new.names.tenants),
+            ("settings: zones", &self.names.zones, &new.names.zones),
+            ("settings: kinds", &self.names.kinds, &new.names.kinds),
+        ];
+        for (place, own, other) in named {
+            if own != other {
+                return theirs(place, format!("{own:?}"), format!("{other:?}"));
+            }
+        }
+        let peers =
+            (self.peer_listen, &self.peers, self.peers_all) == (new.peer_listen, &new.peers, new.peers_all);
+        let settings = self.router == new.router && self.transport == new.transport;
+        let same = [("limits", self.limits == new.limits), ("peers", peers), ("settings", settings)];
+        Ok(same.into_iter().filter(|(_, same)| !same).map(|(place, _)| place).collect())
+    }
+}
+
 impl Config {
+    /// What makes it this front end's.
+    pub fn identity(&self) -> Identity {
+        Identity {
+            name: self.name.clone(),
+            listen: self.listen,
+            limits: self.limits,
+            peer_listen: self.peer_listen,
+            peers: self.peers.clone(),
+            peers_all: self.peers_all,
+            router: self.router.clone(),
+            names: self.names.clone(),
+            transport: self.transport,
+        }
+    }
+
     /// How many places there are.
     pub fn places(&self) -> Places {
         Places { zones: self.names.zones.len(), kinds: self.names.kinds.len() }
--- a/crates/badgerwind-platform/src/link.rs
+++ b/crates/badgerwind-platform/src/link.rs
@@ -8,6 +8,9 @@
 
 /// Attempts given up whose answers may still come; beyond them a connection is used up.
 const GHOSTS: usize = 32;
+/// Attempts turned away of which a second answer may still come. None of their calls comes over this connection again while it
+/// is remembered: the second answer would be taken for that of the next attempt, while that one runs.
+const ANSWERED: usize = 64;
 
 /// Something to be sent. `C` is the content of a call.
 #[derive(Clone, Debug)]
@@ -78,7 +81,7 @@
 pub enum Off {
     /// It is not here.
     Unknown,
-    /// It was waiting, or is given up by a line that goes out next: its end comes.
+    /// It had not begun to go out, or is given up by a line that goes out next: its end comes.
     Done,
     /// Part of its line is out: only the end of the connection keeps the rest back.
     Cut,
@@ -90,26 +93,37 @@
     owed: Owed,
 }
 
-/// What ends with a byte of what goes out.
+/// What a line of what goes out is.
 #[derive(Debug)]
 enum Begun<C> {
     Task(Task<C>),
     Kill(RequestId, u32, CallOff),
 }
 
+/// A line in `out`, from its first byte to behind its last.
+#[derive(Debug)]
+struct Line<C> {
+    from: usize,
+    to: usize,
+    what: Begun<C>,
+}
+
 /// A connection.
 #[derive(Debug)]
 pub struct Link<C> {
     queue: VecDeque<Task<C>>,
     out: Vec<u8>,
     sent: usize,
-    /// Lines in `out`, each with the place of its end.
-    begun: VecDeque<(usize, Begun<C>)>,
+    /// Lines in `out`, in their order.
+    begun: VecDeque<Line<C>>,
     open: Vec<Open>,
     ghosts: VecDeque<RequestId>,
+    /// Calls whose attempts ended here by a word other than ok.
+    answered: VecDeque<RequestId>,
     /// Part of a line.
     come: Vec<u8>,
-    suspect: bool,
+    /// It takes nothing new, and closes once nothing is on it.
+    spent: bool,
     /// Last sign of life.
     pub heard: Time,
     /// When it last became idle or was given something.
@@ -126,8 +140,9 @@
             begun: VecDeque::new(),
             open: Vec::new(),
             ghosts: VecDeque::new(),
+            answered: VecDeque::new(),
             come: Vec::new(),
-            suspect: false,
+            spent: false,
             heard: now,
             used: now,
         }
@@ -146,12 +161,18 @@
     /// Whether it takes something new for this id: not where an answer to an earlier attempt may still come.
     pub fn takes(&self, id: &str) -> bool {
         let same = |o: &Open| &*o.name == id;
-        !self.suspect && !self.ghosts.iter().any(|g| &**g == id) && !self.open.iter().any(same)
+        let passed = self.ghosts.iter().chain(&self.answered).any(|g| &**g == id);
+        !self.spent && !passed && !self.open.iter().any(same)
+    }
+
+    /// Nothing new goes over it from now on: it leads where nothing is to go.
+    pub fn retire(&mut self) {
+        self.spent = true;
     }
 
     /// Whether it is of no more use once nothing is on it.
     pub fn spent(&self) -> bool {
-        self.suspect
+        self.spent
     }
 
     /// Puts something in line.
@@ -165,7 +186,7 @@
         for task in self.queue.drain(..) {
             let from = self.out.len();
             if write(&task, &mut self.out) {
-                self.begun.push_back((self.out.len(), Begun::Task(task)));
+                self.begun.push_back(Line { from, to: self.out.len(), what: Begun::Task(task) });
             } else {
                 self.out.truncate(from);
                 ends.push(End::Unsent(task));
@@ -181,9 +202,9 @@
     /// So many bytes of it were handed over.
     pub fn sent(&mut self, bytes: usize, ends: &mut Vec<End<C>>) {
         self.sent += bytes;
-        while self.begun.front().is_some_and(|(end, _)| *end <= self.sent) {
-            let Some((_, begun)) = self.begun.pop_front() else { break };
-            let task = match begun {
+        while self.begun.front().is_some_and(|line| line.to <= self.sent) {
+            let Some(line) = self.begun.pop_front() else { break };
+            let task = match line.what {
                 Begun::Task(task) => task,
                 Begun::Kill(id, attempt, why) => {
                     ends.push(off(id, attempt, why));
@@ -205,24 +226,51 @@
         }
     }
 
-    /// Calls an attempt off.
-    pub fn off(&mut self, id: &RequestId, attempt: u32, why: CallOff, ends: &mut Vec<End<C>>) -> Off {
+    /// Takes back an attempt of which no byte is out; false where it is not here, or has begun.
+    pub fn withhold(&mut self, id: &RequestId, attempt: u32, ends: &mut Vec<End<C>>) -> bool {
         let is =
             |t: &Task<C>| matches!(t, Task::Attempt { id: i, attempt: a, .. } if i == id && *a == attempt);
         if let Some(task) = self.queue.iter().position(is).and_then(|n| self.queue.remove(n)) {
             ends.push(End::Unsent(task));
+            return true;
+        }
+        // Behind lines that the socket has not taken yet: it is cut out, and those after it move up.
+        let sent = self.sent;
+        let waits = |l: &Line<C>| l.from >= sent && matches!(&l.what, Begun::Task(t) if is(t));
+        let Some(line) = self.begun.iter().position(waits).and_then(|n| {
+            let line = self.begun.remove(n)?;
+            let length = line.to - line.from;
+            self.begun.iter_mut().skip(n).for_each(|l| (l.from, l.to) = (l.from - length, l.to - length));
+            Some(line)
+        }) else {
+            return false;
+        };
+        self.out.drain(line.from..line.to);
+        if let Begun::Task(task) = line.what {
+            ends.push(End::Unsent(task));
+        }
+        true
+    }
+
+    /// Calls an attempt off.
+    pub fn off(&mut self, id: &RequestId, attempt: u32, why: CallOff, ends: &mut Vec<End<C>>) -> Off {
+        if self.withhold(id, attempt, ends) {
             return Off::Done;
         }
         let owed = Owed::Attempt(id.clone(), attempt);
         if let Some(n) = self.open.iter().position(|o| o.owed == owed) {
             self.open.swap_remove(n);
+            let from = self.out.len();
             line::kill(&mut self.out, id);
-            self.begun.push_back((self.out.len(), Begun::Kill(id.clone(), attempt, why)));
+            let what = Begun::Kill(id.clone(), attempt, why);
+            self.begun.push_back(Line { from, to: self.out.len(), what });
             self.ghosts.push_back(id.clone());
-            self.suspect |= self.ghosts.len() > GHOSTS;
+            self.spent |= self.ghosts.len() > GHOSTS;
             return Off::Done;
         }
-        if self.begun.iter().any(|(_, b)| matches!(b, Begun::Task(t) if is(t))) {
+        let is =
+            |t: &Task<C>| matches!(t, Task::Attempt { id: i, attempt: a, .. } if i == id && *a == attempt);
+        if self.begun.iter().any(|l| matches!(&l.what, Begun::Task(t) if is(t))) {
             return Off::Cut;
         }
         Off::Unknown
@@ -259,9 +307,12 @@
         let Some(n) = self.open.iter().position(|o| *o.name == *said.req) else {
             match self.ghosts.iter().position(|g| **g == *said.req) {
                 // The answer to an attempt that was given up crossed its call-off.
-                Some(n) => _ = self.ghosts.remove(n),
+                Some(n) => {
+                    let ghost = self.ghosts.remove(n);
+                    ghost.into_iter().for_each(|id| self.remember(id));
+                }
                 // An answer to nothing: what came before it and what is open still counts, but nothing new.
-                None => self.suspect = true,
+                None => self.spent = true,
             }
             return Ok(());
         };
@@ -276,12 +327,25 @@
             Owed::Order(order) => End::Order(*order, said.word.order().ok_or(Spoilt::Line)?, said.copies),
             Owed::Probe => End::Probe(said.word.probe().ok_or(Spoilt::Line)?),
         };
+        if let End::Attempt(id, _, end) = &end {
+            // One that ended well is over; any other may be tried again.
+            if end.outcome != Outcome::Ok {
+                self.remember(id.clone());
+            }
+        }
         self.open.swap_remove(n);
         self.used = now;
         ends.push(end);
         Ok(())
     }
 
+    fn remember(&mut self, id: RequestId) {
+        if self.answered.len() >= ANSWERED {
+            self.answered.pop_front();
+        }
+        self.answered.push_back(id);
+    }
+
     /// The connection has ended, or is to be. What was out whole may have run; the rest never did. A spoilt answer
     /// that can only have been the one attempt's is that attempt's error.
     pub fn broken(&mut self, spoilt: bool, ends: &mut Vec<End<C>>) {
@@ -294,22 +358,22 @@
                 Owed::Probe => End::Probe(Outcome::Reset),
             });
         }
-        for (_, begun) in self.begun.drain(..) {
-            ends.push(match begun {
+        for line in self.begun.drain(..) {
+            ends.push(match line.what {
                 Begun::Task(task) => End::Unsent(task),
                 // The end of the connection gives it up as well.
                 Begun::Kill(id, attempt, why) => off(id, attempt, why),
             });
         }
         ends.extend(self.queue.drain(..).map(End::Unsent));
-        (self.suspect, self.sent) = (true, 0);
+        (self.spent, self.sent) = (true, 0);
         self.out = Vec::new();
         self.come = Vec::new();
     }
 
     /// Whether an attempt given up still waits for its line to go out.
     pub fn kills(&self) -> bool {
-        self.begun.iter().any(|(_, b)| matches!(b, Begun::Kill(..)))
+        self.begun.iter().any(|l| matches!(l.what, Begun::Kill(..)))
     }
 
     /// Bytes of a line that has begun to come.
--- a/crates/badgerwind-platform/tests/clients.rs
+++ b/crates/badgerwind-platform/tests/clients.rs
@@ -179,6 +179,39 @@
     assert!(c.answer(1, &OK), "what was whole still gets its answer");
 }
 
+/// Whoever withdraws a request has gone, also behind bytes that ended the reading: nothing may begin for it any more.
+#[test]
+fn a_doomed_connection_still_hears_its_withdrawals() {
+    let mut abort = Vec::new();
+    fcgi::record(&mut abort, fcgi::ABORT_REQUEST, 1, b"");
+    // A body beyond its bound, cut in the middle of its record; records can still be told apart.
+    let mut c = Client::default();
+    feed(&mut c, &request(1, "a", b""));
+    let mut long = Vec::new();
+    begin(&mut long, 2, 1);
+    fcgi::stream(&mut long, fcgi::PARAMS, 2, b"");
+    fcgi::record(&mut long, fcgi::STDIN, 2, &vec![0; BODY + 1]);
+    assert_eq!(feed(&mut c, &long[..long.len() - 9]), []);
+    assert!(c.doomed() && c.open() == 1);
+    // The abort's bytes inside of a body are none.
+    let mut rest = abort.clone();
+    rest.extend([0]);
+    assert_eq!((feed(&mut c, &rest), c.open()), (vec![], 1));
+    assert_eq!(feed(&mut c, &abort), [Heard::Withdrawn { number: 1 }]);
+    assert_eq!((c.open(), c.answer(1, &OK)), (0, false));
+    // Nothing new comes in behind.
+    assert_eq!(feed(&mut c, &request(3, "c", b"")), []);
+    // Where no record can be told any more, an abort is noise like the rest.
+    let mut c = Client::default();
+    feed(&mut c, &request(1, "a", b""));
+    feed(&mut c, b"GET / HTTP/1.1\r\n\r\n");
+    assert_eq!((feed(&mut c, &abort), c.open()), (vec![], 1));
+    assert!(c.held() < 1024 && !c.floods());
+    let piece = vec![0u8; 1 << 20];
+    (0..64).for_each(|_| _ = feed(&mut c, &piece));
+    assert!(c.floods(), "and what goes on without end is told");
+}
+
 proptest! {
     /// Cut anywhere, the same requests come out.
     #[test]
--- a/crates/badgerwind-standins/src/platform/executor.rs
+++ b/crates/badgerwind-standins/src/platform/executor.rs
@@ -2,6 +2,7 @@
 
 use super::LONG;
 use serde_json::Value;
+use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
@@ -28,6 +29,8 @@
 pub enum Do {
     /// Writes these bytes.
     Write(Vec<u8>),
+    /// Writes these bytes on another connection, by its number.
+    WriteOn(usize, Vec<u8>),
     /// Waits.
     Wait(Duration),
     /// Ends the connection.
@@ -57,6 +60,8 @@
 }
 
 type Script = dyn Fn(&Seen) -> Vec<Do> + Send + Sync;
+/// Connections to write on, by number.
+type Ways = Mutex<BTreeMap<usize, Arc<Mutex<TcpStream>>>>;
 
 /// Connections, as an executor counted them.
 #[derive(Debug, Default)]
@@ -78,6 +83,7 @@
     /// Its connections.
     pub doors: Arc<Doors>,
     seen: Arc<Mutex<Vec<Seen>>>,
+    ways: Arc<Ways>,
 }
 
 impl Executor {
@@ -93,14 +99,24 @@
         table: usize,
         script: impl Fn(&Seen) -> Vec<Do> + Send + Sync + 'static,
     ) -> io::Result<Executor> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
+        Executor::on(TcpListener::bind("127.0.0.1:0")?, table, script)
+    }
+
+    /// The same behind a listener that stands already.
+    pub fn on(
+        listener: TcpListener,
+        table: usize,
+        script: impl Fn(&Seen) -> Vec<Do> + Send + Sync + 'static,
+    ) -> io::Result<Executor> {
         let address = listener.local_addr()?;
         let (seen, script): (Arc<Mutex<Vec<Seen>>>, Arc<Script>) = (Arc::default(), Arc::new(script));
         let (all, doors) = (seen.clone(), Arc::<Doors>::default());
-        let counts = doors.clone();
+        let (counts, ways) = (doors.clone(), Arc::<Ways>::default());
+        let own_ways = ways.clone();
         std::thread::spawn(move || {
             for (connection, stream) in listener.incoming().flatten().enumerate() {
                 let (seen, script, doors) = (all.clone(), script.clone(), counts.clone());
+                let ways = own_ways.clone();
                 std::thread::spawn(move || {
                     doors.opened.fetch_add(1, Ordering::Relaxed);
                     let stand = doors.standing.fetch_add(1, Ordering::Relaxed) + 1;
@@ -109,13 +125,21 @@
                         turn_away(stream);
                     } else {
                         doors.most.fetch_max(stand, Ordering::Relaxed);
-                        serve(connection, stream, &seen, &script);
+                        serve(connection, stream, &seen, (&script, &ways));
                     }
                     doors.standing.fetch_sub(1, Ordering::Relaxed);
                 });
             }
         });
-        Ok(Executor { address, doors, seen })
+        Ok(Executor { address, doors, seen, ways })
+    }
+
+    /// Ends a connection, by its number; false where it never came up.
+    pub fn close(&self, connection: usize) -> bool {
+        let ways = self.ways.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(way) = ways.get(&connection) else { return false };
+        let stream = way.lock().unwrap_or_else(PoisonError::into_inner);
+        stream.shutdown(std::net::Shutdown::Both).is_ok()
     }
 
     /// What has come.
@@ -141,11 +165,17 @@
     }
 }
 
-fn serve(connection: usize, stream: TcpStream, seen: &Mutex<Vec<Seen>>, script: &Arc<Script>) {
+fn serve(
+    connection: usize,
+    stream: TcpStream,
+    seen: &Mutex<Vec<Seen>>,
+    (script, ways): (&Arc<Script>, &Arc<Ways>),
+) {
     // Only a delay is lost where these are not to be had.
     let _ = (stream.set_nodelay(true), stream.set_write_timeout(Some(LONG)));
     let Ok(write) = stream.try_clone() else { return };
     let write = Arc::new(Mutex::new(write));
+    ways.lock().unwrap_or_else(PoisonError::into_inner).insert(connection, write.clone());
     for line in BufReader::new(stream).split(b'\n') {
         let Ok(line) = line else { return };
         let Ok(line) = serde_json::from_slice::<Value>(&line) else { return };
@@ -153,7 +183,7 @@
         let (word, req) = (text("type"), text("req"));
         let s = Seen { connection, word, req, line, at: Instant::now() };
         seen.lock().unwrap_or_else(PoisonError::into_inner).push(s.clone());
-        let (script, write) = (script.clone(), write.clone());
+        let (script, write, ways) = (script.clone(), write.clone(), ways.clone());
         std::thread::spawn(move || {
             for step in script(&s) {
                 let stream = || write.lock().unwrap_or_else(PoisonError::into_inner);
@@ -161,6 +191,11 @@
                     Do::Wait(time) => std::thread::sleep(time),
                     // The front end may have given the connection up: that is its right.
                     Do::Write(bytes) => _ = stream().write_all(&bytes),
+                    Do::WriteOn(other, bytes) => {
+                        let way = ways.lock().unwrap_or_else(PoisonError::into_inner).get(&other).cloned();
+                        let way = way.expect("a script names connections that have come up");
+                        let _ = way.lock().unwrap_or_else(PoisonError::into_inner).write_all(&bytes);
+                    }
                     Do::Close => _ = stream().shutdown(std::net::Shutdown::Both),
                 }
             }
--- a/crates/badgerwind-webhook/src/replay.rs
+++ b/crates/badgerwind-webhook/src/replay.rs
@@ -186,6 +186,14 @@
         }
     }
 
+    /// Who waits for the answer of one that is under way.
+    pub fn waiting(&mut self, id: &Id) -> &[W] {
+        match self.shard(id).get(id).map(|e| &e.state) {
+            Some(State::Running(waiters)) => waiters,
+            _ => &[],
+        }
+    }
+
     /// Judges a message whose signature is valid. `unsafe_call`: it must not run twice.
     pub fn admit(
         &mut self,
--- a/crates/badgerwind/src/interface.rs
+++ b/crates/badgerwind/src/interface.rs
@@ -37,7 +37,7 @@
 }
 
 /// A class of requests.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Class {
     /// An answer within this time earns the full worth.
     pub aim: Span,
@@ -60,7 +60,7 @@
 }
 
 /// A tenant and the rate that counts as inside its share, over all front ends.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Tenant {
     /// Requests a second inside the share; `None` where not told.
     pub quota_per_s: Option<f64>,
@@ -122,7 +122,7 @@
 }
 
 /// What a front end is told at its start. A figure of 0 means that there is no such limit or price.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct Settings {
     /// Front ends in this tier.
     pub front_ends: u32,
