Front ends end before SIGKILL with an answer to each, and order no copy that nobody may use

Ruled out: unread input, slow clients, the listen queue. - The end comes 0.6 s after min(deadline, 3 s).

Ruled out: probes (none sent), board calls (none asked anew). The lines at fault: orders.rs, `place`, chose a home where a free copy stood that was too cold for a call from here, so that each order was answered at once and the next followed. Now a call that waits orders nothing there, and nobody beyond what one order may ask for. The new test in many.rs orders without end when the line is taken out.

- Accepting: without a free descriptor the system says so whether or not anybody waits; a newcomer was evicted for nobody.
Dials wait for a descriptor that an idle connection gives up, instead of counting against the executor.

--- a/crates/badgerwind-cli/tests/platform/endings.rs
+++ b/crates/badgerwind-cli/tests/platform/endings.rs
@@ -78,6 +78,27 @@
     assert!(since.elapsed() < Duration::from_secs(12), "and it ends then");
 }
 
+/// SIGKILL comes 3.7 s after SIGTERM however long deadlines are: before it everyone has an answer, and whoever may try again
+/// is told so while there is time.
+#[test]
+fn whoever_has_more_time_than_the_front_end_is_answered_before_its_end() {
+    let rig = Rig::with(vec![Box::new(|s| if s.word == "FN" { vec![] } else { well(s) })], |config| {
+        config["settings"]["classes"][0]["hardLimit"] = json!(9_000_000);
+        config["settings"]["classes"][1]["hardLimit"] = json!(9_000_000);
+    });
+    let mut rig = rig;
+    let (mut look, mut book) = (rig.web(), rig.web());
+    look.ask(1, &Ask { wait_ms: 9_000, ..Ask::new(1) }).unwrap();
+    book.ask(1, &Ask { wait_ms: 9_000, class: "book".into(), ..Ask::new(2) }).unwrap();
+    assert!(until(|| rig.executors[0].words("FN").len() >= 2));
+    let since = stopping(&rig);
+    let answers = [look.answer(), book.answer()].map(|a| a.map(|a| a.status).ok());
+    assert_eq!(answers, [Some(503), Some(502)], "the one may run again, the other may have run");
+    assert_eq!(rig.ended(), Some(0));
+    // Its own clock says when: it is told to the log.
+    assert!(rig.logs(&["stopped", "took=3.6"]), "{:?} {:?}", since.elapsed(), rig.lines());
+}
+
 /// Told twice to stop, and to read its configuration again meanwhile, it stops as it would have: neither sooner nor never.
 #[test]
 fn signals_that_cross_a_stop_change_nothing() {
--- a/crates/badgerwind-driver/src/driver.rs
+++ b/crates/badgerwind-driver/src/driver.rs
@@ -99,7 +99,14 @@
         self.timers.len()
     }
 
-    /// Fails every call that is owed an answer, and calls off what is out: the daemon stops.
+    /// The daemon ends: the decider gives each call its last answer, and what it leaves without one is failed.
+    pub fn stop(&mut self, now: Time, out: &mut Vec<Output<O, C, R>>) {
+        self.now = self.now.max(now);
+        self.tell(Event::Stopping, out);
+        self.fail_all(now, Failure::Stopped, out);
+    }
+
+    /// Fails every call that is owed an answer, and calls off what is out.
     pub fn fail_all(&mut self, now: Time, why: Failure, out: &mut Vec<Output<O, C, R>>) {
         self.now = self.now.max(now);
         let ids: Vec<RequestId> = self.held.keys().cloned().collect();
--- a/crates/badgerwind-gateway/src/engine.rs
+++ b/crates/badgerwind-gateway/src/engine.rs
@@ -244,6 +244,11 @@
         all.filter_map(TheDriver::<B>::next_wake).chain(waits.flatten()).min()
     }
 
+    fn stop(&mut self, now: Time, out: &mut Vec<OutputOf<B>>) {
+        self.leaving.iter_mut().for_each(|l| l.driver.stop(now, out));
+        self.newest.stop(now, out);
+    }
+
     fn fail_all(&mut self, now: Time, why: Failure, out: &mut Vec<OutputOf<B>>) {
         self.leaving.iter_mut().for_each(|l| l.driver.fail_all(now, why, out));
         self.newest.fail_all(now, why, out);
@@ -267,7 +272,7 @@
                         batch.push(input);
                     }
                     modules.on(self.clock.now(), batch.drain(..), &mut out);
-                    modules.fail_all(self.clock.now(), Failure::Stopped, &mut out);
+                    modules.stop(self.clock.now(), &mut out);
                     self.carry(&mut out, &mut modules.ration, &mut batch);
                     self.backend.settled(0, Duration::ZERO);
                     return EngineEnd::Asked;
--- a/crates/badgerwind-gateway/src/platform/clients.rs
+++ b/crates/badgerwind-gateway/src/platform/clients.rs
@@ -1,7 +1,7 @@
 //! The web servers' connections.
 
 use super::shell::{Caller, Content, Input, Shell};
-use super::wire::Wire;
+use super::wire::{is_short, Wire};
 use badgerwind::interface::*;
 use badgerwind_driver::{Call, Failure, Final};
 use badgerwind_platform::client::{Answer, Client, Heard};
@@ -216,41 +216,49 @@
 impl Shell {
     /// Takes connections in until the front end stops.
     pub(super) async fn accept(self: Rc<Self>, listener: Rc<Async<TcpListener>>) {
-        let mut taken = 0;
         loop {
-            let evicted = match listener.accept().await {
+            // Without a free descriptor the system answers so whether or not anybody waits to be let in.
+            if listener.readable().await.is_err() || !self.let_in(&listener, ACCEPTS) {
+                Timer::after(REST).await;
+            }
+            // The tasks of those that went have their turn before more are let in, so that descriptors are not held twice.
+            yield_now().await;
+        }
+    }
+
+    /// Lets in those that wait now, so many at the most; false where the first could not be.
+    fn let_in(self: &Rc<Self>, listener: &Async<TcpListener>, most: usize) -> bool {
+        for n in 0..most {
+            let evicted = match listener.get_ref().accept().and_then(|(s, from)| Ok((Async::new(s)?, from))) {
                 Ok((stream, peer)) => self.admit(stream, peer),
+                Err(e) if e.kind() == ErrorKind::WouldBlock || n > 0 => return true,
                 Err(e) => {
-                    self.not_accepted(&e);
-                    Timer::after(REST).await;
-                    continue;
+                    self.not_let_in(&e);
+                    return false;
                 }
             };
-            taken += 1;
-            // The evicted one's task has its turn before the next is taken in, so that descriptors are not held twice.
-            if evicted || taken % ACCEPTS == 0 {
-                yield_now().await;
+            if evicted {
+                return true;
             }
         }
+        true
     }
 
-    /// Takes in what waits to be accepted now: to whom it belongs, it was taken in when the machine took it in.
-    pub(super) fn accept_rest(self: &Rc<Self>, listener: &Async<TcpListener>) {
-        for _ in 0..self.shares.clients {
-            match listener.get_ref().accept() {
-                Ok((stream, peer)) => match Async::new(stream) {
-                    Ok(stream) => _ = self.admit(stream, peer),
-                    Err(e) => self.not_accepted(&e),
-                },
-                Err(e) if e.kind() == ErrorKind::WouldBlock => return,
-                Err(e) => return self.not_accepted(&e),
+    /// Lets in all that wait: they were taken in when the machine took them in.
+    pub(super) async fn let_in_all(self: &Rc<Self>, listener: &Async<TcpListener>) {
+        for _ in 0..2 * self.shares.clients {
+            let before = self.clients.next.get();
+            let came = self.let_in(listener, ACCEPTS);
+            yield_now().await;
+            if came && self.clients.next.get() == before {
+                return;
             }
         }
     }
 
     /// Most likely for want of descriptors: one that only holds its own gives it up.
-    fn not_accepted(&self, e: &std::io::Error) {
-        let evicted = self.clients.evict(self);
+    fn not_let_in(&self, e: &std::io::Error) {
+        let evicted = is_short(e) && self.clients.evict(self);
         if let Some(more) = self.complaints.accept.may(self.clock.now()) {
             tracing::warn!(
                 evicted,
--- a/crates/badgerwind-gateway/src/platform/executors.rs
+++ b/crates/badgerwind-gateway/src/platform/executors.rs
@@ -25,6 +25,8 @@
 
 /// Connections that may break under one attempt before its last byte is out: then the executor counts as unreachable.
 const AGAIN: u8 = 2;
+/// Pause before a connection is tried again for which there was no descriptor.
+const SHORT: Duration = Duration::from_millis(2);
 /// Reads from one connection before others have their turn.
 const READS: usize = 4;
 /// The board's word and an attempt's first byte cross; this much of the drain's grace is left unused, in microseconds.
@@ -570,13 +572,10 @@
             Err(std::io::ErrorKind::TimedOut.into())
         };
         let began = self.clock.now();
-        let stream = match Async::<TcpStream>::connect(address).or(late).await {
+        let stream = match self.dial(c, address).or(late).await {
             Ok(stream) => stream,
             Err(e) => {
                 let took = self.clock.now() - began;
-                if is_short(&e) {
-                    self.short(c, &e);
-                }
                 return tracing::debug!(worker = c.worker, took, "not connected: {e}");
             }
         };
@@ -647,17 +646,30 @@
         c.over.get().is_none()
     }
 
-    /// No descriptor was to be had: that tells nothing of the executor. An idle connection gives its own up.
-    fn short(&self, c: &Connection, e: &std::io::Error) {
-        c.unsent.set(Outcome::Moot);
-        let evicted = self.executors.evict(c.worker) || self.clients.evict(self);
-        if let Some(more) = self.complaints.dial.may(self.clock.now()) {
-            tracing::warn!(
-                evicted,
-                more,
-                "no connection to an executor can be opened: {e}; the limits of the machine are below the \
-                 configuration's limits.sockets"
-            );
+    /// Connects. Where no descriptor is to be had, which tells nothing of the executor, connections on which nothing is give
+    /// theirs up, until one is.
+    async fn dial(&self, c: &Connection, address: SocketAddr) -> std::io::Result<Async<TcpStream>> {
+        loop {
+            let e = match Async::<TcpStream>::connect(address).await {
+                Err(e) if is_short(&e) => e,
+                other => {
+                    if !c.closing.get() {
+                        c.unsent.set(Outcome::ConnectFailed);
+                    }
+                    return other;
+                }
+            };
+            c.unsent.set(Outcome::Moot);
+            let evicted = self.clients.evict(self) || self.executors.evict(c.worker);
+            if let Some(more) = self.complaints.dial.may(self.clock.now()) {
+                tracing::warn!(
+                    evicted,
+                    more,
+                    "no connection to an executor can be opened: {e}; the limits of the machine are below the \
+                     configuration's limits.sockets"
+                );
+            }
+            Timer::after(SHORT).await;
         }
     }
 }
--- a/crates/badgerwind-gateway/src/platform/mod.rs
+++ b/crates/badgerwind-gateway/src/platform/mod.rs
@@ -29,10 +29,10 @@
 /// How long requests still come after SIGTERM (PROTOCOL page, "Figures"), and a little more.
 const LATE_ARRIVALS: Duration = Duration::from_millis(750);
 /// The end comes so long after SIGTERM and the longest deadline, whatever is still open: what came last has had its time by
-/// then, and SIGKILL comes 0.7 s after it.
-const LAST_WORD: Duration = Duration::from_millis(650);
-/// The longest deadline counts as this at the least.
-const LEAST_DEADLINE: Duration = Duration::from_secs(3);
+/// then, and SIGKILL, which answers nobody, comes 0.1 s later.
+const LAST_WORD: Duration = Duration::from_millis(600);
+/// A longer deadline counts as this much where SIGKILL is told by it (PROTOCOL page, "Figures").
+const LONGEST_DEADLINE: Duration = Duration::from_secs(3);
 /// Connections that may wait to be accepted.
 const QUEUE: i32 = 1024;
 /// How often idle connections are looked at.
@@ -153,7 +153,7 @@
     let mut signals = signals;
     let stop = async {
         shell.signals(&mut signals, (&options.config, &identity), &board).await;
-        let longest = Duration::from_micros(longest).max(LEAST_DEADLINE);
+        let longest = Duration::from_micros(longest).min(LONGEST_DEADLINE);
         let further = async {
             // One that is told twice to stop stops no sooner: what it took is still owed.
             while let Some(signal) = signals.next().await {
@@ -224,7 +224,7 @@
         tracing::info!(open = self.clients.open(), "stopping");
         Timer::after(LATE_ARRIVALS).await;
         // What the machine took in by now came in time, whether or not this process has had its turn since.
-        self.accept_rest(&listener);
+        self.let_in_all(&listener).await;
         drop((accepting, listener));
         self.clients.read_all(self);
         self.closed.set(true);
--- a/crates/badgerwind/src/choose.rs
+++ b/crates/badgerwind/src/choose.rs
@@ -82,7 +82,7 @@
             return Choice::Send(id);
         }
         let may_order = self.set.may_order && !self.doubtful(f);
-        if let Some(id) = self.place(f).filter(|_| may_order && self.order_room(1.0)) {
+        if let Some(id) = self.place(f, true).filter(|_| may_order && self.order_room(1.0)) {
             return Choice::Load(id);
         }
         // Nothing can be ordered: one that has waited long joins the queue at a warm worker.
--- a/crates/badgerwind/src/dispatch.rs
+++ b/crates/badgerwind/src/dispatch.rs
@@ -132,6 +132,12 @@
         self.end(id, out);
     }
 
+    /// No more time is left here: whoever may try again does so elsewhere, while some of its own is.
+    pub(crate) fn on_stop(&mut self, out: &mut Vec<Action>) {
+        let all: Vec<RequestId> = self.m.open.keys().cloned().collect();
+        all.iter().for_each(|id| self.finish(id, out));
+    }
+
     /// A request is over: attempts still out are called off, and it is forgotten once they have ended.
     pub(crate) fn end(&mut self, id: &RequestId, out: &mut Vec<Action>) {
         let off = self.m.end(id).into_iter().filter(|_| self.set.may_cancel);
--- a/crates/badgerwind/src/events.rs
+++ b/crates/badgerwind/src/events.rs
@@ -21,6 +21,7 @@
                 self.on_answer(&id, attempt, Told { outcome, last, lag, mark, crowd, own: 0, waited: 0 }, out)
             }
             Event::ClientGone { id } => self.end(&id, out),
+            Event::Stopping => self.on_stop(out),
             Event::Alarm { name } if &*name == "sweep" => self.on_sweep(out),
             Event::Loaded { worker, function, outcome, copies, lag } => {
                 self.on_loaded(worker, &function, Loaded { outcome, copies, lag }, out)
--- a/crates/badgerwind/src/interface.rs
+++ b/crates/badgerwind/src/interface.rs
@@ -344,6 +344,8 @@
         /// The worker's load report.
         report: Option<Vec<f64>>,
     },
+    /// The front end ends: what is owed an answer gets its last one now.
+    Stopping,
     /// The client has left.
     ClientGone {
         /// The request.
--- a/crates/badgerwind/src/orders.rs
+++ b/crates/badgerwind/src/orders.rs
@@ -9,8 +9,9 @@
 const LOAD_CAPACITY: f64 = 0.5; // Share of its capacity from which a warming worker is given loads.
 
 impl Router {
-    /// The worker for a new copy: the first home that holds none, or holds least.
-    pub(crate) fn place(&self, f: usize) -> Option<WorkerId> {
+    /// The worker for a new copy: the first home that holds none, or holds least. Of no use to a request that
+    /// `waits` is one more where a free one stands: it is something else that keeps it from going there.
+    pub(crate) fn place(&self, f: usize, waits: bool) -> Option<WorkerId> {
         let fun = &self.m.functions[f];
         let fit = |w: &Worker| {
             let room = w.ready && self.now >= w.no_load_until && w.loads < WORKER_LOADS;
@@ -19,7 +20,9 @@
         let near = if fun.spread > 0 { fun.spread + 1 } else { fun.homes.len() };
         let homes = fun.homes.iter().take(near).copied().filter(|id| self.m.workers.get(id).is_some_and(fit));
         let count = |id: &WorkerId| self.warm(f, *id).max(fun.copies.get(id).map_or(0, Copies::coming));
-        homes.min_by_key(count)
+        // Where as many stand as one order may ask for, another changes nothing and is answered at once.
+        let free = |id: &WorkerId| fun.copies.get(id).is_some_and(|c| self.warm(f, *id) * fun.lanes > c.out);
+        homes.filter(|id| count(id) < MOST_COPIES && !(waits && free(id))).min_by_key(count)
     }
 
     /// Rule 5: whether one more order fits the sliding window, within this share of it.
--- a/crates/badgerwind/src/sweep.rs
+++ b/crates/badgerwind/src/sweep.rs
@@ -168,7 +168,7 @@
         let (loads, drops) = plan(&horizon);
         self.m.functions[f].last_loads = f64::from(loads);
         for _ in 0..loads {
-            if let Some(id) = self.place(f).filter(|_| self.order_room(AHEAD_SHARE)) {
+            if let Some(id) = self.place(f, false).filter(|_| self.order_room(AHEAD_SHARE)) {
                 self.order(f, id, 1, out);
             }
         }
--- a/crates/badgerwind/tests/many.rs
+++ b/crates/badgerwind/tests/many.rs
@@ -198,3 +198,36 @@
     b.pass(400 * MS); // `Bench` fails where a load goes to a worker that drains
     assert!(b.loads[before..].iter().any(|l| l.1 == spared), "what was lost is loaded ahead: {:?}", b.loads);
 }
+
+/// On a restart day one front end ordered a second copy, a third, up to the sixteenth, where the first stood free but its executor was
+/// still too cold for a call from here; from then on sixteen again, every 2 ms, as each order was answered at once.
+#[test]
+fn no_further_copy_is_ordered_where_a_free_one_stands_that_may_not_be_used() {
+    let mut held = 0;
+    for n in 0..8 {
+        let mut set = many(100);
+        set.my_number = n;
+        let mut b = Bench::new(set.clone(), 0);
+        b.router = Router::new(7, set);
+        // Warm by three quarters: given loads, but from a hundred front ends hardly a call each.
+        let born = b.now;
+        b.now += 10_000 * MS;
+        b.event(Event::List { kind: ListKind::Whole, entries: vec![entry(1, Availability::Ready, Some(born))] });
+        ask_as(&mut b, "a", "f", (0, 0, false));
+        for _ in 0..500 {
+            let orders = b.loads.len();
+            b.pass(2 * MS);
+            // Each order is answered at once: what it asks for stands.
+            if let Some((_, worker, function, copies)) = b.loads.last().cloned().filter(|_| orders < 40) {
+                let (outcome, lag) = (Outcome::Ok, 2 * MS);
+                b.event(Event::Loaded { worker, function, outcome, copies, lag });
+            }
+        }
+        if b.sends("a").is_empty() {
+            held += 1;
+            // One for the call, and one that its plan asks for beside it.
+            assert!((1..=2).contains(&b.loads.len()), "front end {n}: {:?}", b.loads);
+        }
+    }
+    assert!(held > 0, "some front end may not send there yet");
+}
