--- a/crates/badgerwind/tests/many.rs
+++ b/crates/badgerwind/tests/many.rs
@@ -212,7 +212,10 @@
         // Warm by three quarters: given loads, but from a hundred front ends hardly a call each.
         let born = b.now;
         b.now += 10_000 * MS;
-        b.event(Event::List { kind: ListKind::Whole, entries: vec![entry(1, Availability::Ready, Some(born))] });
+        b.event(Event::List {
+            kind: ListKind::Whole,
+            entries: vec![entry(1, Availability::Ready, Some(born))],
+        });
         ask_as(&mut b, "a", "f", (0, 0, false));
         for _ in 0..500 {
             let orders = b.loads.len();
