--- a/crates/badgerwind/tests/sockets.rs
+++ b/crates/badgerwind/tests/sockets.rs
@@ -139,7 +139,7 @@
         (set.when_absent, set.load_window, set.load_free) = (WhenAbsent::Miss, 60_000 * MS, 20.0);
         let mut b = Bench::new(set, 1);
         b.event(Event::Parts(Parts { orders: part, tenants: vec![] }));
-        for n in 0..60 {
+        for n in 0..46 {
             let known = b.loads.len();
             b.ask(&format!("{n}"), &format!("f{n}"), 3000 * MS);
             b.pass(50 * MS);
