Unit tests stand in test files; a whole list with fewer and the first healthy answer have tests

New: who is not in a whole list told again takes nothing new (held before, no mend); ready before it has connected anywhere: the bound on work before the first healthy answer, by counts.

--- a/crates/badgerwind-cli/tests/platform/crossings.rs
+++ b/crates/badgerwind-cli/tests/platform/crossings.rs
@@ -264,6 +264,28 @@
     assert_eq!(rig.executors[0].words("FN").len(), before);
 }
 
+/// A whole list with fewer executors tells that the others are gone, as well as words of their own would.
+#[test]
+fn who_is_not_in_a_whole_list_told_again_takes_nothing_new() {
+    let rig = Rig::start(vec![Box::new(well), Box::new(well)]);
+    let key = |n: u64| Ask { key: format!("{n:016x}"), ..Ask::new(n) };
+    (1..20).for_each(|n| assert_eq!(rig.call(&key(n)).status, 200));
+    assert!(rig.executors.iter().all(|e| !e.words("FN").is_empty()));
+    rig.board.tell_whole(&[record(id(1), rig.executors[1].address, READY)]);
+    let new = Executor::start(well).unwrap();
+    rig.board.tell(&[record(77, new.address, READY)]);
+    let mut n = 100;
+    // What came after it has been heard of, so that it has.
+    assert!(until(|| {
+        n += 1;
+        assert_eq!(rig.call(&key(n)).status, 200);
+        !new.words("FN").is_empty()
+    }));
+    let before = rig.executors[0].words("FN").len();
+    (1000..1040).for_each(|n| assert_eq!(rig.call(&key(n)).status, 200));
+    assert_eq!(rig.executors[0].words("FN").len(), before);
+}
+
 /// A connection that has been idle may go to make room, or after a time. A request whose last byte is here is taken, read or not.
 #[test]
 fn a_request_that_was_not_read_yet_keeps_its_connection() {
--- a/crates/badgerwind-cli/tests/platform/terms.rs
+++ b/crates/badgerwind-cli/tests/platform/terms.rs
@@ -1,10 +1,11 @@
 //! The file by which the whole fleet's test builds and starts the program, and the terms of that test that can be seen from
 //! outside: one process, linked dynamically against the C library, no Unix sockets, no ring of system calls.
 
-use crate::rig::{id, Rig};
+use crate::rig::{id, Front, Rig};
+use badgerwind_standins::platform::door::Door;
 use badgerwind_standins::platform::executor::well;
-use badgerwind_standins::platform::member;
 use badgerwind_standins::platform::web::Ask;
+use badgerwind_standins::platform::{configuration, member, until};
 use serde_json::json;
 use std::fs;
 use std::time::{Duration, Instant};
@@ -91,6 +92,21 @@
 }
 
 /// A whole fleet in the configuration: 400 executors known from the start, 300 peers.
+/// A tenth of the fleet starts at once on shared cores: nothing is done before the first healthy answer that could wait, and
+/// that answer waits for nobody, neither for the board nor for an executor.
+#[test]
+fn it_is_ready_before_it_has_connected_anywhere() {
+    // Neither the board's door nor the executors' let anybody in.
+    let doors: Vec<_> = (0..3).map(|_| Door::shut().unwrap()).collect();
+    let listed: Vec<_> =
+        doors[1..].iter().enumerate().map(|(n, d)| member(id(n), d.address, "in_service")).collect();
+    let config = configuration("127.0.0.1:0".parse().unwrap(), doors[0].address, &listed);
+    let front = Front::start(config);
+    assert_eq!(front.health(), 200);
+    assert!(until(|| doors[0].knocking() == 1), "it knocks at the board");
+    assert_eq!(doors[1..].iter().map(Door::knocking).sum::<usize>(), 0, "and at no executor before a call");
+}
+
 #[test]
 fn it_serves_within_thirty_seconds_of_its_start_with_a_whole_fleet_in_its_configuration() {
     let began = Instant::now();
--- a/crates/badgerwind-gateway/src/answers.rs
+++ b/crates/badgerwind-gateway/src/answers.rs
@@ -29,27 +29,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use badgerwind_driver::{Failure, Refusal};
-
-    #[test]
-    fn what_may_have_run_is_tried_anew_only_where_that_is_harmless() {
-        let failed = Final::<()>::Failed(Failure::GivenUp);
-        let refused = Final::<()>::Refused { by: Refusal::Decided, retry_after: None };
-        use Effect::*;
-        for (effect, group, answer, attempts, want) in [
-            (Once, Group::All, &Final::Served(()), 1, Kept::Remember),
-            (Repeatable, Group::All, &Final::Served(()), 1, Kept::Remember),
-            (Once, Group::All, &refused, 2, Kept::Forget),
-            (Once, Group::All, &failed, 1, Kept::Remember),
-            (Once, Group::All, &failed, 0, Kept::Forget),
-            (ByKey, Group::All, &failed, 1, Kept::Forget),
-            (ByKey, Group::Zone, &failed, 1, Kept::Remember),
-            (ByKey, Group::Cell, &failed, 1, Kept::Remember),
-            (Repeatable, Group::All, &failed, 1, Kept::Forget),
-        ] {
-            assert_eq!(remembers(effect, group, answer, attempts), want, "{effect:?} {group:?} {answer:?}");
-        }
-    }
-}
+#[path = "../tests/unit/answers.rs"]
+mod tests;
--- /dev/null
+++ b/crates/badgerwind-gateway/tests/unit/shares.rs
@@ -0,0 +1,26 @@
+//! What only the inside of `shares.rs` shows.
+
+use super::*;
+use badgerwind_budgets::{Book, Terms, Whole};
+use badgerwind_settings::Budget;
+
+#[test]
+fn a_part_is_of_the_quota_that_runs_now() {
+    let mut router =
+        badgerwind_settings::read("s.xml", include_str!("../../../badgerwind-settings/tests/example.xml"))
+            .unwrap()
+            .router;
+    let whole = Whole { units: 10, floor: 5, members: 1, rest: 1_000 };
+    let book = Book { version: 1, wholes: vec![whole] };
+    let (lease, beat) = (3_000, 1_000);
+    let terms = Terms { voters: vec![0], vote: 1_000, lease, beat, drift: 0, moves: 64 };
+    let node = Node::new(0, (0, 1), book.clone(), terms.clone(), 0.0);
+    let brolga = Budget { name: "brolga".into(), of: BudgetOf::Tenant(0) };
+    let budgets = Budgets { terms, book, budgets: vec![brolga], line: 1 };
+    // A floor of half the units; right after the start it rests for a window.
+    for (quota, at, part) in [(40.0, 0, 0.0), (40.0, 5_000, 20.0), (90.0, 5_000, 45.0)] {
+        router.tenants[0].quota_per_s = Some(quota);
+        let told = parts(&budgets, &node, at, &router);
+        assert_eq!((told.tenants[0], told.orders), (Some(part), None));
+    }
+}
--- a/crates/badgerwind-standins/src/platform/board.rs
+++ b/crates/badgerwind-standins/src/platform/board.rs
@@ -25,7 +25,8 @@
     held_after: u64,
     /// Events that are lost before the next.
     lost: u64,
-    events: Vec<Vec<u8>>,
+    /// Their kind, and records.
+    events: Vec<(u8, Vec<u8>)>,
     first: u64,
     mood: Mood,
     asked: Vec<u64>,
@@ -92,7 +93,12 @@
 
     /// Tells of changes.
     pub fn tell(&self, records: &[Vec<u8>]) {
-        self.state().events.push(records.concat());
+        self.state().events.push((2, records.concat()));
+    }
+
+    /// Tells the whole list again: whoever is not in it is gone.
+    pub fn tell_whole(&self, records: &[Vec<u8>]) {
+        self.state().events.push((1, records.concat()));
     }
 
     /// Treats its connections so from now on.
@@ -132,7 +138,7 @@
     loop {
         let (mood, next) = {
             let mut s = lock();
-            let later = |n: u64| s.events.get(n as usize).map(|e| (2, e.clone()));
+            let later = |n: u64| s.events.get(n as usize).cloned();
             let next = match (had + 1).checked_sub(s.first) {
                 _ if from_start && had >= s.held_after => None,
                 Some(n) => later(n),
