--- a/crates/badgerwind-gateway/src/front.rs
+++ b/crates/badgerwind-gateway/src/front.rs
@@ -3,6 +3,8 @@
 //!
 //! What a sender sees is written down in `docs/protocols/webhook.md`.
 
+mod told;
+
 use crate::answers::{remembers, Kept};
 use crate::callbacks::Owed;
 use crate::clock::{unix_micros, unix_seconds, Clock};
@@ -28,6 +30,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
 use std::time::Duration;
+use told::{away, problem, replayed, stream, Away};
 
 /// Pause after a connection could not be accepted, most likely for want of descriptors: nothing spins.
 pub(crate) const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -40,8 +43,6 @@
 const CALLBACK: &str = "badgerwind-callback";
 /// The id under which logs and runners know the call.
 const REQUEST: &str = "badgerwind-request";
-/// `1`: the answer is the one that an earlier message with this id got.
-const REPLAYED: &str = "badgerwind-replayed";
 
 /// An answer, where a streamed one goes on, and when it was given.
 type Told = (Arc<Response>, Option<Receiver<Vec<u8>>>, Time);
@@ -106,39 +107,6 @@
     pub failed: AtomicU64,
 }
 
-/// What a sender is told when its message is turned away by the front itself.
-struct Away {
-    status: u16,
-    reason: &'static str,
-    detail: String,
-    harmless: bool,
-    retry_after: Option<Span>,
-}
-
-fn away(status: u16, reason: &'static str, detail: impl Into<String>) -> Away {
-    Away { status, reason, detail: detail.into(), harmless: true, retry_after: None }
-}
-
-/// A problem document (RFC 9457); `retry` says whether trying again is harmless.
-fn problem(away: &Away) -> Response {
-    let retry = if away.harmless { "harmless" } else { "unknown" };
-    let body = serde_json::json!({
-        "type": format!("urn:badgerwind:problem:{}", away.reason),
-        "title": away.reason.replace('-', " "),
-        "status": away.status,
-        "detail": away.detail,
-        "retry": retry,
-    });
-    let response = Response::new(away.status, "application/problem+json", body.to_string().into_bytes());
-    match away.retry_after {
-        // Whole seconds, rounded up (RFC 9110 section 10.2.3); the exact time beside it for those who know it.
-        Some(span) => response
-            .with("retry-after", span.div_ceil(1_000_000).to_string())
-            .with("badgerwind-retry-after-ms", span.div_ceil(1000).to_string()),
-        None => response,
-    }
-}
-
 /// A call on its way to its one answer. If nothing answers it, whoever waits finds the channel closed.
 struct Waiting {
     front: Arc<Front>,
@@ -804,24 +772,3 @@
     Waits(Receiver<Arc<Response>>, Time),
     Run(Box<Call<Box<dyn Origin>, Arc<Content>>>, Receiver<Told>),
 }
-
-fn replayed(answer: &Response) -> Arc<Response> {
-    Arc::new(answer.clone().with(REPLAYED, "1"))
-}
-
-/// Passes a streamed answer on. One that breaks off is broken off towards the sender too, without its last chunk.
-async fn stream(
-    conn: &mut Conn<Stream>,
-    response: &Response,
-    rest: Receiver<Vec<u8>>,
-    keep: bool,
-) -> Result<(), badgerwind_http::ServeError> {
-    conn.respond_streaming(response.status, &response.headers, keep).await?;
-    while let Ok(piece) = rest.recv().await {
-        conn.chunk(&piece).await?;
-        if piece.is_empty() {
-            return Ok(());
-        }
-    }
-    Err(badgerwind_http::ServeError::Closed)
-}
