The last read of each connection before the end is bounded

The new test floods during a stop and passes with and without the bound, since no sender here outruns the reader for long: it holds the end, not the bound.

--- a/crates/badgerwind-cli/tests/platform/endings.rs
+++ b/crates/badgerwind-cli/tests/platform/endings.rs
@@ -135,6 +135,31 @@
     assert!(rig.logs(&["stopped", "open=0"]), "{:?} {:?}", since.elapsed(), rig.lines());
 }
 
+/// Clients that send without end hold up neither the others' answers nor the end.
+#[test]
+fn clients_that_flood_hold_up_no_end() {
+    let mut rig = Rig::start(vec![Box::new(|s| match s.line["data"].as_str() {
+        Some("Zmxvb2Q=") => vec![],
+        _ => well(s),
+    })]);
+    let over = Arc::<AtomicBool>::default();
+    let mut floods = Vec::new();
+    for n in 0..3 {
+        let mut web = rig.web();
+        web.ask(1, &Ask { body: b"flood".to_vec(), wait_ms: 60_000, ..Ask::new(n) }).unwrap();
+        let over = over.clone();
+        floods.push(std::thread::spawn(move || {
+            let junk = vec![0u8; 64 * 1024];
+            while !over.load(Ordering::Relaxed) && web.write(&junk).is_ok() {}
+        }));
+    }
+    stopping(&rig);
+    assert_eq!(rig.call(&Ask::new(9)).status, 200);
+    assert_eq!(rig.ended(), Some(0));
+    over.store(true, Ordering::Relaxed);
+    floods.into_iter().for_each(|t| t.join().unwrap());
+}
+
 /// One that takes its answers slowly gets them whole.
 #[test]
 fn answers_taken_slowly_during_a_stop_come_whole() {
--- a/crates/badgerwind-gateway/src/platform/clients.rs
+++ b/crates/badgerwind-gateway/src/platform/clients.rs
@@ -23,6 +23,8 @@
 const SLOW: Span = 5_000_000;
 /// Reads from one connection before others have their turn.
 const READS: usize = 4;
+/// The same, as a multiple, when what is here is read for the last time.
+const LAST_READS: usize = 16;
 /// How long accepting rests when descriptors are short, so that it does not spin.
 const REST: Duration = Duration::from_millis(20);
 /// Connections taken in before others have their turn: who connects without end would hold up those who ask.
@@ -175,7 +177,8 @@
     pub(super) fn read_all(&self, shell: &Shell) {
         let all: Vec<_> = self.connections.borrow().values().cloned().collect();
         for c in all.iter().filter(|c| !c.closing.get()) {
-            while shell.take_in(c) {}
+            // One that sends faster than it is read would hold up the end.
+            let _ = (0..LAST_READS).find(|_| !shell.take_in(c));
             self.mark(c.clone());
         }
     }
