Read again: a call between two attempts is not forgotten, and only descriptors evict

- A sender that left while its remembered call waited between two attempts had it forgotten, though the first may have run: a repeat of the same message would have run it again.
Now it goes on to its last answer; books.rs fails without it.
- Want of ports or memory evicted idle connections too, up to one each 2 ms, which gives back neither.
Only EMFILE and ENFILE do now; the test of a machine short of descriptors passes as before, want of ports has none.

--- a/crates/badgerwind-driver/src/driver.rs
+++ b/crates/badgerwind-driver/src/driver.rs
@@ -143,7 +143,8 @@
             Input::Call(call) => self.call(call, out),
             Input::CallerLeft { id, keeps } => {
                 let Some(held) = self.held.get_mut(&id) else { return };
-                if keeps && held.attempts.iter().any(Attempt::is_out) {
+                // Also between two attempts: an earlier one may have run, and that is not to be forgotten.
+                if keeps && !held.attempts.is_empty() {
                     held.content = None; // a further attempt is moot
                     return self.withhold(&id, out);
                 }
--- a/crates/badgerwind-driver/tests/books.rs
+++ b/crates/badgerwind-driver/tests/books.rs
@@ -183,6 +183,22 @@
     d.on(0, [list(&[7]), call(1, 11, 1_000), Input::CallerLeft { id: id(1), keeps: true }], &mut out);
     d.on(9, [ended(1, 0, Outcome::Ok)], &mut out);
     assert_eq!(finals(&out), [(11, &Final::Served("yes"))]);
+    // Nor is one forgotten between two attempts: the first may have run, and a repeat would run it again.
+    let (mut d, s) = rig(vec![
+        vec![Action::SetAlarm { after: 20, name: "a".into() }],
+        vec![send(1, 7, None)],
+        vec![],
+        vec![send(1, 8, None)],
+        vec![Action::Fail { id: id(1) }],
+    ]);
+    let mut out = Vec::new();
+    d.on(0, [list(&[7, 8]), call(1, 11, 1_000)], &mut out);
+    d.on(9, [ended(1, 0, Outcome::Reset), Input::CallerLeft { id: id(1), keeps: true }], &mut out);
+    assert_eq!((d.owed(), finals(&out).len()), (1, 0));
+    d.on(20, [], &mut out);
+    d.on(21, [], &mut out);
+    assert_eq!(answers(&s.told.borrow()), [(0, Outcome::Reset, false), (1, Outcome::Moot, false)]);
+    assert_eq!(finals(&out), [(11, &Final::Failed(Failure::GivenUp))]);
     // Where nothing has begun there is nothing to remember.
     let (mut d, s) = rig(vec![]);
     let mut out = Vec::new();
--- a/crates/badgerwind-gateway/src/platform/mod.rs
+++ b/crates/badgerwind-gateway/src/platform/mod.rs
@@ -14,7 +14,7 @@
 use badgerwind::Router;
 use badgerwind_driver::{Decider, Limits};
 use badgerwind_platform::board::Follower;
-use badgerwind_platform::config::{self, BadConfig, Config, Identity};
+use badgerwind_platform::config::{self, BadConfig, Config};
 use board::Board;
 use futures_lite::{FutureExt, StreamExt};
 use shell::{Platform, Shell};
@@ -147,12 +147,11 @@
     let accepting = tasks.spawn(shell.clone().accept(listener.clone()));
     let longest = config.router.classes.iter().map(|c| c.deadline).max().unwrap_or(0);
     tracing::info!(name = %config.name, %address, sockets = config.limits.sockets, "serving");
-    let identity = config.identity();
-    drop(config);
+    let ours = Config { known: Vec::new(), ..config };
     let ended = tasks.spawn(engine.run(decider, terms));
     let mut signals = signals;
     let stop = async {
-        shell.signals(&mut signals, (&options.config, &identity), &board).await;
+        shell.signals(&mut signals, (&options.config, &ours), &board).await;
         let longest = Duration::from_micros(longest).min(LONGEST_DEADLINE);
         let further = async {
             // One that is told twice to stop stops no sooner: what it took is still owed.
@@ -184,7 +183,7 @@
     }
 
     /// Takes SIGHUP until SIGTERM or SIGINT comes.
-    async fn signals(&self, signals: &mut Signals, (path, identity): (&Path, &Identity), board: &Board) {
+    async fn signals(&self, signals: &mut Signals, (path, ours): (&Path, &Config), board: &Board) {
         while let Some(signal) = signals.next().await {
             if !matches!(signal, Ok(Signal::Hup)) {
                 return;
@@ -192,7 +191,7 @@
             let file = || path.display().to_string();
             let read = load(path).and_then(|new| {
                 let changes =
-                    identity.changes(&new).map_err(|error| PlatformError::Config { file: file(), error })?;
+                    ours.changes(&new).map_err(|error| PlatformError::Config { file: file(), error })?;
                 Ok((new.board, changes))
             });
             match read {
--- a/crates/badgerwind-gateway/src/platform/wire.rs
+++ b/crates/badgerwind-gateway/src/platform/wire.rs
@@ -6,10 +6,10 @@
 use std::net::TcpStream;
 use std::task::{Poll, Waker};
 
-/// Whether a connection failed for want of something on this machine, most likely descriptors.
+/// Whether a connection failed for want of a descriptor: that, and nothing else, another one's end gives back.
 pub(super) fn is_short(e: &io::Error) -> bool {
     use rustix::io::Errno;
-    let short = [Errno::MFILE, Errno::NFILE, Errno::NOBUFS, Errno::NOMEM, Errno::ADDRNOTAVAIL];
+    let short = [Errno::MFILE, Errno::NFILE];
     e.raw_os_error().is_some_and(|n| short.iter().any(|s| s.raw_os_error() == n))
 }
 
--- a/crates/badgerwind-platform/src/config.rs
+++ b/crates/badgerwind-platform/src/config.rs
@@ -205,21 +205,7 @@
     Ok(Listed { entry, address: m.host_port })
 }
 
-/// What makes a configuration this front end's: what it was started with, and goes by until its end.
-#[derive(Clone, Debug)]
-pub struct Identity {
-    name: String,
-    listen: SocketAddr,
-    limits: Limits,
-    peer_listen: Option<SocketAddr>,
-    peers: Vec<SocketAddr>,
-    peers_all: Option<SocketAddr>,
-    router: Settings,
-    names: Names,
-    transport: Transport,
-}
-
-impl Identity {
+impl Config {
     /// What another configuration changes beside the notice board. One that is another front end's, or whose places stand for
     /// other names, is refused: an executor's zone or a request's class would mean something else from one moment to the next.
     pub fn changes(&self, new: &Config) -> Result<Vec<&'static str>, BadConfig> {
@@ -252,23 +238,6 @@
         let same = [("limits", self.limits == new.limits), ("peers", peers), ("settings", settings)];
         Ok(same.into_iter().filter(|(_, same)| !same).map(|(place, _)| place).collect())
     }
-}
-
-impl Config {
-    /// What makes it this front end's.
-    pub fn identity(&self) -> Identity {
-        Identity {
-            name: self.name.clone(),
-            listen: self.listen,
-            limits: self.limits,
-            peer_listen: self.peer_listen,
-            peers: self.peers.clone(),
-            peers_all: self.peers_all,
-            router: self.router.clone(),
-            names: self.names.clone(),
-            transport: self.transport,
-        }
-    }
 
     /// How many places there are.
     pub fn places(&self) -> Places {
--- a/crates/badgerwind-platform/src/link.rs
+++ b/crates/badgerwind-platform/src/link.rs
@@ -41,6 +41,13 @@
     Unload(String),
 }
 
+impl<C> Task<C> {
+    /// Whether it is this attempt.
+    fn is(&self, id: &RequestId, attempt: u32) -> bool {
+        matches!(self, Task::Attempt { id: i, attempt: a, .. } if i == id && *a == attempt)
+    }
+}
+
 /// What is owed an end.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Owed {
@@ -228,8 +235,7 @@
 
     /// Takes back an attempt of which no byte is out; false where it is not here, or has begun.
     pub fn withhold(&mut self, id: &RequestId, attempt: u32, ends: &mut Vec<End<C>>) -> bool {
-        let is =
-            |t: &Task<C>| matches!(t, Task::Attempt { id: i, attempt: a, .. } if i == id && *a == attempt);
+        let is = |t: &Task<C>| t.is(id, attempt);
         if let Some(task) = self.queue.iter().position(is).and_then(|n| self.queue.remove(n)) {
             ends.push(End::Unsent(task));
             return true;
@@ -268,8 +274,7 @@
             self.spent |= self.ghosts.len() > GHOSTS;
             return Off::Done;
         }
-        let is =
-            |t: &Task<C>| matches!(t, Task::Attempt { id: i, attempt: a, .. } if i == id && *a == attempt);
+        let is = |t: &Task<C>| t.is(id, attempt);
         if self.begun.iter().any(|l| matches!(&l.what, Begun::Task(t) if is(t))) {
             return Off::Cut;
         }
