Scale tests begin: rows, fits with residuals, meters of processor time and heap

Need: the planned size (11,000 front ends, 1.5 million instances) decides the design from now on, and each figure of the capacity page has to come from a command. Change: package badgerwind-scale with the trait of a row, least-squares fits over five orders of growth, meters of thread time and heap (cpu-time, stats_alloc), table, JSON and SVG, bounds on memory and time.

--- /dev/null
+++ b/crates/badgerwind-scale/src/main.rs
@@ -0,0 +1,109 @@
+//! `badgerwind-scale`: prints the slopes behind `docs/CAPACITY.md`, one command a row.
+
+use badgerwind_scale::error::ScaleError;
+use badgerwind_scale::run::Request;
+use badgerwind_scale::{report, rows, run};
+use clap::{Parser, Subcommand};
+use stats_alloc::{StatsAlloc, INSTRUMENTED_SYSTEM};
+use std::alloc::System;
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Duration;
+
+#[global_allocator]
+static ALLOCATOR: &StatsAlloc<System> = &INSTRUMENTED_SYSTEM;
+
+/// Measures what parts of badgerwind cost as the fleet grows.
+#[derive(Parser)]
+#[command(version)]
+struct Arguments {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Prints the names of all rows.
+    List,
+    /// Measures one row.
+    Row(RowArguments),
+}
+
+#[derive(clap::Args)]
+struct RowArguments {
+    /// Name of the row.
+    row: String,
+    /// Sizes to measure, such as 10,30,100; the row's own where left out.
+    #[arg(long, value_delimiter = ',')]
+    sizes: Option<Vec<u64>>,
+    /// Seed of all that is drawn.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Plays at each size.
+    #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u32).range(1..=100))]
+    plays: u32,
+    /// Most memory, in MiB.
+    #[arg(long, default_value_t = 12_288)]
+    memory_mib: u64,
+    /// No size is begun after so many seconds.
+    #[arg(long, default_value_t = 600, value_parser = clap::value_parser!(u64).range(1..=7_200))]
+    seconds: u64,
+    /// File for the figures as JSON.
+    #[arg(long)]
+    json: Option<PathBuf>,
+    /// File for a drawing.
+    #[arg(long)]
+    svg: Option<PathBuf>,
+}
+
+fn main() -> ExitCode {
+    let done = match Arguments::parse().command {
+        Command::List => {
+            list();
+            Ok(())
+        }
+        Command::Row(arguments) => measure(arguments),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("badgerwind-scale: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn list() {
+    for row in rows::all() {
+        println!("{:<28} {}", row.name(), row.about());
+    }
+}
+
+fn measure(arguments: RowArguments) -> Result<(), ScaleError> {
+    let row = rows::find(&arguments.row)?;
+    let request = Request {
+        sizes: arguments.sizes,
+        seed: arguments.seed,
+        plays: arguments.plays,
+        memory_mib: arguments.memory_mib,
+        time: Duration::from_secs(arguments.seconds),
+    };
+    let outcome = run::run(row.as_ref(), &request)?;
+    print!("{}", report::table(&outcome));
+    if let Some(path) = &arguments.json {
+        write_json(path, &report::json(&outcome))?;
+    }
+    if let Some(path) = &arguments.svg {
+        report::draw(&outcome, path)?;
+    }
+    Ok(())
+}
+
+fn write_json(path: &Path, text: &str) -> Result<(), ScaleError> {
+    let failed = |error: std::io::Error| ScaleError::Output {
+        option: "--json",
+        path: path.display().to_string(),
+        reason: error.to_string(),
+    };
+    std::fs::write(path, text).map_err(failed)
+}
