--- /dev/null
+++ b/crates/badgerwind-cells/src/trie.rs
@@ -0,0 +1,252 @@
+//! The trie: members in leaves of bounded size, counts and weights summed up along the way to each.
+
+use crate::mix::{mix, position};
+
+/// Node of the root.
+const ROOT: usize = 0;
+/// Path of the root; a path is a one followed by a bit for each fork passed.
+const ROOT_PATH: u64 = 1;
+
+/// A member of a cell.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Member {
+    /// Its number.
+    pub id: u32,
+    /// Its weight; 0 for one that is listed but takes nothing.
+    pub weight: u64,
+}
+
+/// A cell as drawn for a key.
+#[derive(Debug, Clone, Copy)]
+pub struct Cell<'a> {
+    /// Names the cell; the same at all who know the same list.
+    pub path: u64,
+    /// Number of the change that last touched it; only this index's own numbers can be compared.
+    pub changed: u64,
+    /// Its members in order of their numbers.
+    pub members: &'a [Member],
+}
+
+impl Cell<'_> {
+    /// Members that take something, with their weights.
+    pub fn weighted(&self) -> impl Iterator<Item = &Member> {
+        self.members.iter().filter(|m| m.weight > 0)
+    }
+}
+
+#[derive(Debug)]
+enum Kind {
+    Leaf { members: Vec<Member>, changed: u64 },
+    Fork { children: [usize; 2] },
+}
+
+#[derive(Debug)]
+struct Node {
+    kind: Kind,
+    count: usize,
+    weight: u64,
+}
+
+impl Node {
+    fn leaf(members: Vec<Member>, changed: u64) -> Self {
+        let weight = members.iter().map(|m| m.weight).sum();
+        Node { count: members.len(), weight, kind: Kind::Leaf { members, changed } }
+    }
+}
+
+/// Members in cells.
+#[derive(Debug)]
+pub struct CellIndex {
+    most_members: usize,
+    nodes: Vec<Node>,
+    free: Vec<usize>,
+    cells: usize,
+    changes: u64,
+}
+
+impl Default for CellIndex {
+    /// An index whose cells hold one member each.
+    fn default() -> Self {
+        CellIndex::new(1)
+    }
+}
+
+impl CellIndex {
+    /// An empty index; a cell holds at most so many members, at least one.
+    pub fn new(most_members: usize) -> Self {
+        let root = Node::leaf(Vec::new(), 0);
+        CellIndex {
+            most_members: most_members.max(1),
+            nodes: vec![root],
+            free: Vec::new(),
+            cells: 1,
+            changes: 0,
+        }
+    }
+
+    /// Number of changes so far.
+    pub fn changes(&self) -> u64 {
+        self.changes
+    }
+
+    /// Number of members.
+    pub fn len(&self) -> usize {
+        self.nodes[ROOT].count
+    }
+
+    /// Whether there is no member.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Number of cells.
+    pub fn cells(&self) -> usize {
+        self.cells
+    }
+
+    /// Takes a member in, or gives it another weight.
+    pub fn set(&mut self, id: u32, weight: u64) {
+        let (path, leaf) = self.way_to(id);
+        let changed = self.changes + 1;
+        let Kind::Leaf { members, changed: stamp } = &mut self.nodes[leaf].kind else { return };
+        let (added, before) = match members.binary_search_by_key(&id, |m| m.id) {
+            Ok(place) if members[place].weight == weight => return,
+            Ok(place) => (0, std::mem::replace(&mut members[place].weight, weight)),
+            Err(place) => {
+                members.insert(place, Member { id, weight });
+                (1, 0)
+            }
+        };
+        *stamp = changed;
+        self.changes = changed;
+        for node in path.into_iter().chain([leaf]) {
+            self.nodes[node].count += added;
+            self.nodes[node].weight = self.nodes[node].weight - before + weight;
+        }
+        self.split(leaf, self.depth_of(id, leaf));
+    }
+
+    /// Takes a member out.
+    pub fn remove(&mut self, id: u32) {
+        let (path, leaf) = self.way_to(id);
+        let changed = self.changes + 1;
+        let Kind::Leaf { members, changed: stamp } = &mut self.nodes[leaf].kind else { return };
+        let Ok(place) = members.binary_search_by_key(&id, |m| m.id) else { return };
+        let removed = members.remove(place);
+        *stamp = changed;
+        self.changes = changed;
+        for &node in path.iter().chain([&leaf]) {
+            self.nodes[node].count -= 1;
+            self.nodes[node].weight -= removed.weight;
+        }
+        let joined = path.into_iter().find(|&node| self.nodes[node].count <= self.most_members);
+        if let Some(fork) = joined {
+            self.join(fork);
+        }
+    }
+
+    /// The cell that a key is led to; `None` where nothing has any weight.
+    pub fn draw(&self, key: u64) -> Option<Cell<'_>> {
+        let (mut node, mut path) = (ROOT, ROOT_PATH);
+        loop {
+            let total = self.nodes[node].weight;
+            if total == 0 {
+                return None;
+            }
+            let children = match &self.nodes[node].kind {
+                Kind::Leaf { members, changed } => return Some(Cell { path, changed: *changed, members }),
+                Kind::Fork { children } => children,
+            };
+            // Uniform in 0..total: the product's upper half.
+            let drawn = (u128::from(mix(key ^ mix(path))) * u128::from(total)) >> 64;
+            let right = drawn >= u128::from(self.nodes[children[0]].weight);
+            node = children[usize::from(right)];
+            path = path << 1 | u64::from(right);
+        }
+    }
+
+    /// The cells that these keys are led to, each once and in the keys' order, until they hold `enough` members with
+    /// a weight or are all that there are.
+    pub fn draw_until(&self, keys: impl Iterator<Item = u64>, enough: usize) -> Vec<Cell<'_>> {
+        let (mut drawn, mut weighted): (Vec<Cell<'_>>, usize) = (Vec::new(), 0);
+        for cell in keys.map_while(|key| self.draw(key)) {
+            if drawn.iter().all(|known| known.path != cell.path) {
+                weighted += cell.weighted().count();
+                drawn.push(cell);
+            }
+            if weighted >= enough || drawn.len() == self.cells {
+                break;
+            }
+        }
+        drawn
+    }
+
+    /// Forks on the way to a member's leaf, and the leaf.
+    fn way_to(&self, id: u32) -> (Vec<usize>, usize) {
+        let mut bits = position(id);
+        let (mut forks, mut node) = (Vec::new(), ROOT);
+        while let Kind::Fork { children } = &self.nodes[node].kind {
+            forks.push(node);
+            node = children[(bits >> 63) as usize];
+            bits <<= 1;
+        }
+        (forks, node)
+    }
+
+    fn depth_of(&self, id: u32, leaf: usize) -> u32 {
+        let (forks, found) = self.way_to(id);
+        debug_assert_eq!(found, leaf, "a member is in the leaf that its place leads to");
+        forks.len() as u32
+    }
+
+    /// Splits a leaf until no part of it holds too many. Places differ, so that this ends.
+    fn split(&mut self, leaf: usize, depth: u32) {
+        if self.nodes[leaf].count <= self.most_members || depth >= u64::BITS {
+            return;
+        }
+        let changed = self.changes;
+        let Kind::Leaf { members, .. } = &mut self.nodes[leaf].kind else { return };
+        let (right, left): (Vec<Member>, Vec<Member>) =
+            std::mem::take(members).into_iter().partition(|m| position(m.id) << depth >> 63 == 1);
+        let children = [left, right].map(|members| self.place(Node::leaf(members, changed)));
+        self.nodes[leaf].kind = Kind::Fork { children };
+        self.cells += 1;
+        children.into_iter().for_each(|child| self.split(child, depth + 1));
+    }
+
+    /// Makes one leaf of all below a fork.
+    fn join(&mut self, fork: usize) {
+        let mut members = Vec::with_capacity(self.nodes[fork].count);
+        self.gather(fork, &mut members);
+        members.sort_unstable_by_key(|m| m.id);
+        self.nodes[fork] = Node::leaf(members, self.changes);
+    }
+
+    /// Moves all members below a node out, and frees the nodes below it.
+    fn gather(&mut self, node: usize, members: &mut Vec<Member>) {
+        let emptied = Kind::Leaf { members: Vec::new(), changed: self.changes };
+        match std::mem::replace(&mut self.nodes[node].kind, emptied) {
+            Kind::Leaf { members: of_leaf, .. } => members.extend(of_leaf),
+            Kind::Fork { children } => {
+                self.cells -= 1;
+                for child in children {
+                    self.gather(child, members);
+                    self.free.push(child);
+                }
+            }
+        }
+    }
+
+    fn place(&mut self, node: Node) -> usize {
+        match self.free.pop() {
+            Some(place) => {
+                self.nodes[place] = node;
+                place
+            }
+            None => {
+                self.nodes.push(node);
+                self.nodes.len() - 1
+            }
+        }
+    }
+}
--- a/crates/badgerwind-driver/src/driver.rs
+++ b/crates/badgerwind-driver/src/driver.rs
@@ -89,6 +89,14 @@
         self.owed
     }
 
+    /// How much the decider remembers; nothing once it has failed.
+    pub fn figures(&self) -> Figures {
+        if self.broken {
+            return Figures::default();
+        }
+        self.decider.figures()
+    }
+
     /// Calls remembered: those owed an answer, and those with an attempt still out.
     pub fn remembered(&self) -> usize {
         self.held.len()
--- a/crates/badgerwind-driver/src/lib.rs
+++ b/crates/badgerwind-driver/src/lib.rs
@@ -25,18 +25,31 @@
 pub trait Decider {
     /// Takes in an event and adds what is to be done.
     fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>);
+
+    /// How much it remembers, for those who watch it.
+    fn figures(&self) -> Figures {
+        Figures::default()
+    }
 }
 
 impl Decider for badgerwind::Router {
     fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         badgerwind::Router::handle(self, now, event, out);
     }
+
+    fn figures(&self) -> Figures {
+        badgerwind::Router::figures(self)
+    }
 }
 
 impl<D: Decider + ?Sized> Decider for Box<D> {
     fn handle(&mut self, now: Time, event: Event, out: &mut Vec<Action>) {
         (**self).handle(now, event, out);
     }
+
+    fn figures(&self) -> Figures {
+        (**self).figures()
+    }
 }
 
 /// Names a load order on the wire and in logs; never used twice by one driver.
--- a/crates/badgerwind-gateway/src/dispatch.rs
+++ b/crates/badgerwind-gateway/src/dispatch.rs
@@ -219,4 +219,8 @@
         self.metrics.held.set(owed as i64);
         self.metrics.batch_time.observe(took.as_secs_f64());
     }
+
+    fn remembered(&mut self, figures: Figures) {
+        self.metrics.remembered(&figures);
+    }
 }
--- a/crates/badgerwind-gateway/src/engine.rs
+++ b/crates/badgerwind-gateway/src/engine.rs
@@ -36,6 +36,9 @@
     }
     /// All outputs of a batch were carried out.
     fn settled(&mut self, owed: usize, took: Duration);
+
+    /// How much the module remembers after a batch.
+    fn remembered(&mut self, _figures: Figures) {}
 }
 
 /// What a backend tells the driver.
@@ -314,6 +317,7 @@
                 .unwrap_or_else(PoisonError::into_inner)
                 .see(began, late.max(took.as_micros() as Span));
             self.backend.settled(modules.owed(), took);
+            self.backend.remembered(modules.newest.figures());
             if let Some(text) = failed {
                 modules.fail_all(self.clock.now(), Failure::ModuleFailed, &mut out);
                 self.carry(&mut out, &mut modules.ration, &mut batch);
--- a/crates/badgerwind-gateway/src/metrics.rs
+++ b/crates/badgerwind-gateway/src/metrics.rs
@@ -1,6 +1,6 @@
 //! Figures of the daemon, in OpenMetrics text.
 
-use badgerwind::interface::{Outcome, Span};
+use badgerwind::interface::{Figures, Outcome, Span};
 use badgerwind_config::Report;
 use badgerwind_http::{Conn, Limits, Response};
 use prometheus_client::encoding::text::encode;
@@ -35,6 +35,11 @@
     pub sender: String,
 }
 
+#[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
+pub(crate) struct ByPart {
+    pub part: &'static str,
+}
+
 #[derive(Clone, Debug, Hash, PartialEq, Eq, EncodeLabelSet)]
 pub(crate) struct ByBudget {
     pub budget: String,
@@ -67,6 +72,7 @@
     pub list_version: Gauge<u64, AtomicU64>,
     pub list_failures: Counter,
     pub batch_time: Histogram,
+    pub remembered: Family<ByPart, Gauge>,
     pub budget_owned: Family<ByBudget, Gauge>,
     pub budget_whole: Family<ByBudget, Gauge>,
     pub budget_refused: Family<ByBudget, Counter>,
@@ -100,6 +106,7 @@
             list_version: Gauge::default(),
             list_failures: Counter::default(),
             batch_time,
+            remembered: Family::default(),
             budget_owned: Family::default(),
             budget_whole: Family::default(),
             budget_refused: Family::default(),
@@ -134,6 +141,8 @@
         r.register("runners_ready", "Runners listed as ready", m.runners.clone());
         r.register("list_version", "Version of the runner list", m.list_version.clone());
         r.register("list_failures", "Questions to the list service that failed", m.list_failures.clone());
+        let help = "How much the decision module remembers: workers, ready workers, cells, functions, planned and waiting ones";
+        r.register("module_remembered", help, m.remembered.clone());
         r.register("batch_seconds", "Time that a batch of events took", m.batch_time.clone());
         r.register(
             "budget_owned_units",
@@ -161,6 +170,20 @@
         self.answer_time.observe(lag as f64 / 1e6);
     }
 
+    pub(crate) fn remembered(&self, figures: &Figures) {
+        let parts = [
+            ("workers", figures.workers),
+            ("ready_workers", figures.ready),
+            ("cells", figures.cells),
+            ("functions", figures.functions),
+            ("planned_functions", figures.planned),
+            ("waiting_functions", figures.waiting),
+        ];
+        for (part, count) in parts {
+            self.remembered.get_or_create(&ByPart { part }).set(count as i64);
+        }
+    }
+
     pub(crate) fn turned_away(&self, reason: &'static str) {
         self.turned_away.get_or_create(&ByReason { reason }).inc();
     }
--- a/crates/badgerwind/src/choose.rs
+++ b/crates/badgerwind/src/choose.rs
@@ -8,6 +8,7 @@
 
 const CROWDING: f64 = 0.3; // What each such request adds to the time there, in service times.
 const RETRY_PAIN: f64 = 0.3; // Share of the aim that a failure costs where the request can be repeated.
+pub(crate) const CANDIDATES: usize = 128; // Most workers that one decision weighs; of more, as chance has it.
 const NEXT_HOMES: usize = 8; // Further homes that take calls of one loaded beyond the mean.
 
 impl Router {
@@ -29,7 +30,8 @@
         };
         let mut best: Option<(f64, WorkerId)> = None;
         let mut frees: Vec<f64> = Vec::new();
-        for (&id, c) in &fun.copies {
+        let chance = unit_hash(&open.id, open.attempts.len() as u32);
+        for (&id, c) in self.m.some_copies(f, CANDIDATES, chance) {
             let Some(w) = self.m.workers.get(&id).filter(|w| w.ready) else { continue };
             let warm = self.stands(f, id);
             for &(at, want) in c.orders.iter().filter(|o| o.1 > warm) {
@@ -44,8 +46,8 @@
             let time = mean * self.busy(w);
             // Shared homes: others come and go unseen, so crowding is a price, and chance spreads the calls.
             let shared = fun.spread > 0 && c.out < warm * fun.lanes;
-            let chance = unit_hash(&open.id, id);
-            let time = if shared { time * (1.0 + CROWDING * c.foreign + chance) } else { time };
+            let luck = unit_hash(&open.id, id);
+            let time = if shared { time * (1.0 + CROWDING * c.foreign + luck) } else { time };
             if shared || taken + 0.5 < f64::from(warm * fun.lanes) {
                 // The one that answers soonest; failures seen weigh most where a failed request is lost.
                 let fails = w.whole.fails * aim * if class.effect == Effect::Once { 1.0 } else { RETRY_PAIN };
@@ -77,7 +79,7 @@
         let pick = homes.iter().find(|id| may(**id) && !tried(**id)).copied();
         let known = |c: &Copies| c.out > 0 || c.n == 0 && c.known + COLD_NEWS * fun.load as u64 > now;
         let spare = self.set.max_attempts as usize > open.attempts.len() + 1 || !self.set.may_order;
-        let unknown = |id: &WorkerId| spare && !fun.copies.get(id).is_some_and(known);
+        let unknown = |id: &WorkerId| spare && !fun.copies.get(id).is_some_and(|c| known(c));
         if let Some(id) = pick.filter(unknown) {
             return Choice::Send(id);
         }
@@ -87,7 +89,11 @@
         }
         // Nothing can be ordered: one that has waited long joins the queue at a warm worker.
         if waited > 1.0 || !self.set.may_order {
-            let queues = fun.copies.iter().filter(|(id, c)| c.n > 0 && may(**id)).map(|(id, c)| (c.out, *id));
+            let queues = self
+                .m
+                .some_copies(f, CANDIDATES, chance)
+                .filter(|(id, c)| c.n > 0 && may(**id))
+                .map(|(id, c)| (c.out, *id));
             let any = homes.iter().find(|id| self.set.when_absent == WhenAbsent::Load && may(**id));
             if let Some(id) = queues.min().map(|q| q.1).or(any.copied()) {
                 return Choice::Send(id);
--- a/crates/badgerwind/src/dispatch.rs
+++ b/crates/badgerwind/src/dispatch.rs
@@ -38,7 +38,7 @@
         let (now, keep, began) = (self.now, self.keep(), self.began.unwrap_or(self.now));
         let known = self.m.names.get(&r.function).copied();
         let f = known.unwrap_or_else(|| {
-            let all = self.m.functions.iter().map(|f| f.load).sum::<f64>() / self.m.names.len().max(1) as f64;
+            let all = self.m.load_sum / self.m.names.len().max(1) as f64;
             let guess = if all > 0.0 { all } else { keep * LOAD_GUESS };
             let load = r.load_time.map_or(guess, |t| t as f64).max(self.sweep as f64);
             let step = (load as u64 / STEPS_PER_LOAD).max(1);
@@ -48,21 +48,20 @@
         (fun.memory, fun.lanes, fun.used) = (r.memory_mb, r.lanes.max(1), now);
         fun.count(now, began, BINS as u64);
         fun.uses.add(now, 2.0 * keep, 0.5);
+        self.m.plan_next(f);
         f
     }
 
     /// Serves the held requests of a function, worthiest and most urgent first.
     pub(crate) fn dispatch(&mut self, f: usize, out: &mut Vec<Action>) {
         self.refresh(f);
-        let mut held = std::mem::take(&mut self.m.functions[f].held);
+        let mut held = self.m.take_held(f);
         held.sort_by(|a, b| {
             let (x, y) = (&self.m.open[a], &self.m.open[b]);
             self.worth(y).total_cmp(&self.worth(x)).then(x.due.cmp(&y.due)).then(a.cmp(b))
         });
         // Too little for all shows in further tries, or in more held than there are workers.
-        let served = self.m.functions.iter().filter(|f| f.mean > 0.0);
-        let all_held: usize = served.map(|f| f.held.len()).sum();
-        let pressed = self.m.retries < 1.0 || all_held + held.len() > self.m.workers.len();
+        let pressed = self.m.retries < 1.0 || self.m.held + held.len() > self.m.workers.len();
         let mut waiting = Vec::new();
         for id in held {
             let open = &self.m.open[&id];
@@ -85,6 +84,7 @@
             }
         }
         self.m.functions[f].held = waiting;
+        self.m.count_held(f);
     }
 
     pub(crate) fn too_late(&self, open: &Open) -> bool {
@@ -131,16 +131,4 @@
         out.push(answer);
         self.end(id, out);
     }
-
-    /// No more time is left here: whoever may try again does so elsewhere, while some of its own is.
-    pub(crate) fn on_stop(&mut self, out: &mut Vec<Action>) {
-        let all: Vec<RequestId> = self.m.open.keys().cloned().collect();
-        all.iter().for_each(|id| self.finish(id, out));
-    }
-
-    /// A request is over: attempts still out are called off, and it is forgotten once they have ended.
-    pub(crate) fn end(&mut self, id: &RequestId, out: &mut Vec<Action>) {
-        let off = self.m.end(id).into_iter().filter(|_| self.set.may_cancel);
-        out.extend(off.map(|attempt| Action::Cancel { id: id.clone(), attempt }));
-    }
 }
--- a/crates/badgerwind/src/homes.rs
+++ b/crates/badgerwind/src/homes.rs
@@ -4,8 +4,10 @@
 use crate::router::Router;
 use crate::shares::LOAD_SPAN;
 use crate::state::*;
-use badgerwind_placement::{homes, unit_hash};
+use badgerwind_placement::unit_hash;
 
+pub(crate) const CELL: usize = 128; // Most workers in a cell: what one call may look at of any list.
+const FEW: usize = 16; // Ready workers that the cells of a function hold at the least.
 const MANY: u32 = 8; // Front ends from which each sees too small a part of a function to go by its own tally.
 const OTHERS: f64 = 3.0; // Uses by other front ends within a keep-alive that make a copy theirs to keep too.
 const BUSY_LANES: f64 = 4.0; // Own requests that load a worker of size 1 about once over.
@@ -14,25 +16,18 @@
 const COLD_SHARE: f64 = 0.4; // Share of a cold worker's budget that all front ends together plan to use.
 
 impl Router {
-    /// Workers in the function's own order (rendezvous hash, by size): front ends that share nothing agree.
-    /// It changes with the list only. The first `spread` of them take what is shared with other front ends.
+    /// Workers in the function's own order (cells drawn by weight, rendezvous hash within): front ends that
+    /// share nothing agree. It changes with its cells only. The first `spread` take what is shared.
     pub(crate) fn refresh(&mut self, f: usize) {
         let uses = self.m.functions[f].uses.get(self.now, 2.0 * self.keep());
         let shared = self.set.front_ends > MANY && uses * f64::from(self.set.front_ends - 1) > OTHERS;
-        let Memory { workers, functions, list, .. } = &mut self.m;
-        let fun = &mut functions[f];
-        if fun.listed != *list {
-            let ready = workers.iter().filter(|(_, w)| w.ready);
-            fun.copies.values_mut().for_each(|c| c.home = false);
-            (fun.homes, fun.listed) = (homes(&fun.name, ready.map(|(&id, w)| (id, w.size))), *list);
-        }
-        let most = fun.homes.len().max(1);
-        fun.reach = fun.reach.clamp(1.0, most as f64);
-        fun.spread = if shared { fun.reach.round() as usize } else { 0 };
-        for (n, id) in fun.homes.iter().enumerate().take(fun.spread.max(fun.had)) {
-            fun.copies.entry(*id).or_default().home = n < fun.spread;
-        }
-        fun.had = fun.spread;
+        self.m.settle(f);
+        // At the most it reaches twice as far by the next look.
+        self.m.find_homes(f, FEW.max(2 * self.m.functions[f].reach.round() as usize));
+        let fun = &mut self.m.functions[f];
+        fun.reach = fun.reach.clamp(1.0, fun.homes.len().max(1) as f64);
+        let spread = if shared { fun.reach.round() as usize } else { 0 };
+        self.m.set_spread(f, spread);
     }
 
     /// Copies to count on: those believed warm; at a shared function's homes one, unless news says none.
@@ -60,12 +55,11 @@
     /// Rule 4: this front end's share of a cold worker's budget; what warm ones bear stands for its capacity.
     pub(crate) fn cold_room(&self, w: &Worker) -> bool {
         let capacity = self.capacity(w);
-        let sizes: f64 = self.m.ready().map(|w| w.size).sum();
+        let all = &self.m.totals;
         // Guards against demand beyond capacity: only what was ever served shows what they can bear.
-        let asked = self.m.rate.get(self.now, self.keep()) / sizes.max(w.size);
-        let borne: Vec<f64> = self.m.workers.values().map(|w| w.borne).filter(|b| *b > 0.0).collect();
-        let mean = borne.iter().sum::<f64>() / borne.len().max(1) as f64;
-        let bears = w.size * if mean > 0.0 { asked.min(mean) } else { asked };
+        let asked = self.m.rate.get(self.now, self.keep()) / all.size.max(w.size);
+        let mean = all.borne / all.bearing.max(1) as f64;
+        let bears = w.size * if all.bearing > 0 { asked.min(mean) } else { asked };
         let budget =
             bears * capacity * self.set.fall_window as f64 / 1e6 * self.set.fall_multiple * COLD_SHARE;
         let sent = w.sends.since(self.now.saturating_sub(self.set.fall_window));
@@ -78,7 +72,7 @@
 
     /// More than half of the fleet taken out: then the evidence is of something else, and all are used.
     pub(crate) fn all_bad(&self) -> bool {
-        2 * self.m.ready().filter(|w| w.whole.tripped).count() > self.m.ready().count()
+        2 * self.m.totals.tripped > self.m.totals.ready
     }
 
     /// Neither the worker as a whole nor this kind of traffic there is taken out.
--- a/crates/badgerwind/src/interface.rs
+++ b/crates/badgerwind/src/interface.rs
@@ -389,6 +389,23 @@
     },
 }
 
+/// How much a router remembers, for those who watch it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Figures {
+    /// Workers listed, or gone with something still out there.
+    pub workers: usize,
+    /// Workers that take work.
+    pub ready: usize,
+    /// Cells that the listed workers are in.
+    pub cells: usize,
+    /// Functions remembered.
+    pub functions: usize,
+    /// Functions whose next step is planned; the others rest until they are called.
+    pub planned: usize,
+    /// Functions with requests held.
+    pub waiting: usize,
+}
+
 /// Something to be done.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Action {
--- a/crates/badgerwind/src/learn.rs
+++ b/crates/badgerwind/src/learn.rs
@@ -28,16 +28,17 @@
         (told.own, told.waited) = (a.own, self.now - a.sent);
         if outcome == Outcome::Ok {
             let (now, keep) = (self.now, self.keep());
-            self.m.workers.entry(worker).and_modify(|w| w.bore(now, keep));
+            self.m.change_worker(worker, |w| w.bore(now, keep));
         }
         let (f, kinds) = (self.m.open[id].function, self.m.open[id].kinds());
         self.learn(f, kinds, worker, told);
+        self.refresh(f);
         let open = &self.m.open[id];
         let none_out = open.attempts.iter().all(|a| !a.out);
         if told.last || open.over || open.stream {
             self.end(id, out);
         } else if none_out
-            && (self.too_late(open) || self.doubtful(f) || !self.m.ready().any(|w| self.may_send(open, w)))
+            && (self.too_late(open) || self.doubtful(f) || !self.m.homes(f).any(|w| self.may_send(open, w)))
         {
             self.finish(id, out);
         } else if none_out {
@@ -58,10 +59,12 @@
         let others = crowd.filter(|_| self.set.marks_crowd).map(|c| f64::from(c.saturating_sub(own)));
         let (kind_pause, load_span) = (self.set.keep_alive / KIND_PAUSE, self.keep() * LOAD_SPAN);
         let (now, sweep, mean_slow) = (self.now, self.sweep, self.m.mean_slow());
+        self.m.settle(f);
         let believed = self.warm(f, worker) > 0;
         let pause = sweep * BACKOFF + self.rng.u64(0..=sweep * BACKOFF);
         let fun = &mut self.m.functions[f];
         let Some((w, c)) = self.m.workers.get_mut(&worker).zip(fun.copies.get_mut(&worker)) else { return };
+        self.m.totals.exclude(w);
         use Outcome::*;
         let usual = self.m.class_mean[fun.class];
         let sample = match outcome {
@@ -74,6 +77,7 @@
         };
         if let Some(x) = sample.filter(|_| usual > 0.0) {
             w.load.add(now, load_span, x.clamp(1.0 / LOADED, LOADED), 1.0);
+            self.m.loaded.insert(worker);
         }
         if !matches!(outcome, Timeout | Cancelled | Moot | ConnectFailed) {
             w.whole.heard = now;
@@ -99,7 +103,7 @@
                 c.foreign += FAST_GAIN * (others.unwrap_or(0.0) - c.foreign);
                 let time = lag as f64;
                 if mark == CopyMark::BeganLoad {
-                    blend(&mut fun.load, (time - fun.mean).max(time / 4.0), FAST_GAIN);
+                    self.m.load_sum += fun.observe_load((time - fun.mean).max(time / 4.0), FAST_GAIN);
                 } else if mark != CopyMark::WaitedForLoad {
                     let rel = w.slow / mean_slow;
                     // A running quantile: up by much for the few beyond it, down by little for the others.
@@ -136,6 +140,7 @@
             }
             Timeout | Cancelled | Moot => {}
         }
+        self.m.workers.get(&worker).iter().for_each(|w| self.m.totals.include(w));
         if surprised {
             // Several beliefs proven false together (a release, a fleet emptied): no older one is trusted.
             let from = now.saturating_sub(self.m.functions[f].load as u64 * 2);
@@ -151,9 +156,11 @@
         let Loaded { outcome, copies: n, lag } = told;
         let Some(&f) = self.m.names.get(name) else { return };
         let now = self.now;
+        self.m.settle(f);
         let fun = &mut self.m.functions[f];
         let Some((w, c)) = self.m.workers.get_mut(&worker).zip(fun.copies.get_mut(&worker)) else { return };
         let Some(_) = c.take_order(now.saturating_sub(lag)) else { return };
+        self.m.totals.exclude(w);
         w.loads = w.loads.saturating_sub(1);
         // Cut off on its way or after, it may stand all the same: then nothing new is known of the copies.
         if !matches!(outcome, Outcome::Reset | Outcome::Timeout) {
@@ -163,7 +170,7 @@
             Outcome::Ok => {
                 (c.used, w.whole.heard) = (now, now);
                 if lag > fun.step + 2 * self.set.round {
-                    blend(&mut fun.load, lag as f64, FAST_GAIN);
+                    self.m.load_sum += fun.observe_load(lag as f64, FAST_GAIN);
                 }
             }
             Outcome::Error if fun.mean == 0.0 => (fun.errors, fun.erred) = (fun.errors + 1, now),
@@ -171,6 +178,7 @@
             Outcome::Reset => _ = w.whole.fail(1.0, now, self.sweep * BACKOFF),
             _ => _ = w.whole.fail(2.0, now, self.sweep * BACKOFF), // a worker taken out gets no loads
         }
+        self.m.totals.include(w);
         self.dispatch(f, out);
     }
 }
--- a/crates/badgerwind/src/lib.rs
+++ b/crates/badgerwind/src/lib.rs
@@ -8,6 +8,7 @@
 mod homes;
 pub mod interface;
 mod learn;
+mod memory;
 mod message;
 mod orders;
 mod router;
--- a/crates/badgerwind/src/message.rs
+++ b/crates/badgerwind/src/message.rs
@@ -8,6 +8,9 @@
 /// Bytes in a message: the platform's limit of a datagram.
 const MESSAGE: usize = 256;
 
+/// A mass below it is written as none.
+pub(crate) const LEAST_MASS: f64 = 1.0 / 256.0;
+
 /// What a message says.
 pub(crate) struct Told {
     pub rates: Vec<f64>,
--- a/crates/badgerwind/src/orders.rs
+++ b/crates/badgerwind/src/orders.rs
@@ -1,8 +1,10 @@
 //! Load orders: where, how many, within the ration.
 
+use crate::choose::CANDIDATES;
 use crate::interface::*;
 use crate::router::Router;
 use crate::state::*;
+use badgerwind_placement::unit_hash;
 
 pub(crate) const MOST_COPIES: u32 = 16; // Most copies in one order; wmax is this at every worker.
 const WORKER_LOADS: u32 = 3; // Own loads in hand at one worker: workers run a few and turn the rest away.
@@ -18,8 +20,10 @@
             room && (!w.whole.tripped || self.all_bad()) && self.capacity(w) > LOAD_CAPACITY
         };
         let near = if fun.spread > 0 { fun.spread + 1 } else { fun.homes.len() };
-        let homes = fun.homes.iter().take(near).copied().filter(|id| self.m.workers.get(id).is_some_and(fit));
-        let count = |id: &WorkerId| self.warm(f, *id).max(fun.copies.get(id).map_or(0, Copies::coming));
+        let skip = (unit_hash(&fun.name, self.now as u32) * near.saturating_sub(CANDIDATES) as f64) as usize;
+        let part = fun.homes.iter().take(near).skip(skip).take(CANDIDATES);
+        let homes = part.copied().filter(|id| self.m.workers.get(id).is_some_and(fit));
+        let count = |id: &WorkerId| self.warm(f, *id).max(fun.copies.get(id).map_or(0, |c| c.coming()));
         // Where as many stand as one order may ask for, another changes nothing and is answered at once.
         let free = |id: &WorkerId| fun.copies.get(id).is_some_and(|c| self.warm(f, *id) * fun.lanes > c.out);
         homes.filter(|id| count(id) < MOST_COPIES && !(waits && free(id))).min_by_key(count)
@@ -36,12 +40,11 @@
 
     /// Orders so many copies more than last said stood; none renews those. The worker itself makes room.
     pub(crate) fn order(&mut self, f: usize, worker: WorkerId, more: u32, out: &mut Vec<Action>) {
-        let coming = self.m.functions[f].copies.get(&worker).map_or(0, Copies::coming);
+        let coming = self.m.functions[f].copies.get(&worker).map_or(0, |c| c.coming());
         let copies = (self.warm(f, worker).max(coming * more.min(1)) + more).min(MOST_COPIES);
         self.m.orders.push(self.now);
         self.m.workers.entry(worker).and_modify(|w| w.loads += 1);
-        let fun = &mut self.m.functions[f];
-        fun.copies.entry(worker).or_default().orders.push((self.now, copies));
-        out.push(Action::Load { worker, function: fun.name.clone(), copies });
+        self.m.copies_at(f, worker).orders.push((self.now, copies));
+        out.push(Action::Load { worker, function: self.m.functions[f].name.clone(), copies });
     }
 }
--- a/crates/badgerwind/src/router.rs
+++ b/crates/badgerwind/src/router.rs
@@ -1,7 +1,10 @@
 //! The decisions of one front end: what it is and knows, and the expectations that all of them share.
 
+use crate::homes::CELL;
 use crate::interface::*;
+use crate::memory::Memory;
 use crate::state::*;
+use badgerwind_cells::CellIndex;
 
 pub(crate) const HOPE: f64 = 2.0; // Longest hold on hopes, in load times; then any load or queue is better.
 pub(crate) const OVERDUE: f64 = 6.0; // First guess of the service time that OVERDUE_SHARE exceeds, in means.
@@ -29,7 +32,7 @@
         let mut m = Memory::default();
         m.tenant_rate.resize(settings.tenants.len(), Decay::default());
         m.class_mean.resize(settings.classes.len(), 0.0);
-        (m.tail, m.retries, m.mean_load) = (OVERDUE, MOST_RETRIES, 1.0);
+        (m.tail, m.retries, m.mean_load, m.index) = (OVERDUE, MOST_RETRIES, 1.0, CellIndex::new(CELL));
         Router { set: settings, rng: fastrand::Rng::with_seed(seed), m, now: 0, began: None, sweep }
     }
 
--- a/crates/badgerwind/src/shares.rs
+++ b/crates/badgerwind/src/shares.rs
@@ -8,7 +8,7 @@
 pub(crate) const FLOOD_SPAN: f64 = 0.25; // A tenant's rate is judged over this share of the keep-alive.
 const TOLD: f64 = 0.75; // Front ends' word of their rates counts for this share of the keep-alive.
 const TELLS: f64 = 16.0; // Words to another front end in a keep-alive.
-const MOST_TOLD: usize = 60; // Tenants in one.
+pub(crate) const MOST_TOLD: usize = 60; // Tenants in one.
 pub(crate) const LOAD_SPAN: f64 = 0.3; // How loaded a worker was fades over this share of the keep-alive.
 
 impl Router {
@@ -30,9 +30,8 @@
     /// the busy ones took their own part times the number of all for the sum.
     pub(crate) fn all_rate(&self, tenant: usize, own: f64) -> f64 {
         let from = self.now.saturating_sub((self.keep() * TOLD) as Span);
-        let told = self.m.told.values().filter(|(at, _)| *at >= from).filter_map(|(_, r)| r.get(tenant));
-        let (sum, n) = told.fold((own, 1.0), |(sum, n), r| (sum + r, n + 1.0));
-        sum * f64::from(self.set.front_ends.max(1)) / n
+        let (sum, n) = self.m.told_rates(tenant, from);
+        (own + sum) * f64::from(self.set.front_ends.max(1)) / (1.0 + n)
     }
 
     /// A front end tells one other this often.
@@ -51,22 +50,10 @@
         self.m.tell_at = now + self.tell_span();
         let rates: Vec<f64> =
             (0..self.set.tenants.len().min(MOST_TOLD)).map(|t| self.own_rate(t).unwrap_or(0.0)).collect();
-        let mut known: Vec<_> = self.m.workers.iter_mut().filter(|(_, w)| w.ready).collect();
-        known.sort_by(|a, b| b.1.load.mass(now, span).total_cmp(&a.1.load.mass(now, span)));
-        let loads = known.into_iter().map(|(id, w)| (*id, &mut w.load));
-        let bytes = message::write(&rates, loads, |load| load.give(now, span));
+        self.m.forget_told(now.saturating_sub((self.keep() * TOLD) as Span));
+        let known = self.m.heaviest_known(now, span).into_iter();
+        let bytes = message::write(&rates, known, |id| self.m.give_load(id, now, span));
         let to = (self.set.my_number + 1 + self.rng.u32(0..others)) % self.set.front_ends;
         out.push(Action::Tell { to: Some(to), bytes });
     }
-
-    pub(crate) fn on_message(&mut self, from: u32, bytes: &[u8]) {
-        let ours = from < self.set.front_ends && from != self.set.my_number;
-        let Some(told) = message::read(bytes, MOST_TOLD).filter(|_| ours) else { return };
-        self.m.told.insert(from, (self.now, told.rates));
-        let span = self.keep() * LOAD_SPAN;
-        for (name, word) in told.loads {
-            let named = self.m.workers.iter_mut().find(|(id, _)| message::short(**id) == name);
-            named.into_iter().for_each(|(_, w)| w.load.take(self.now, span, word));
-        }
-    }
 }
--- a/crates/badgerwind/src/state.rs
+++ b/crates/badgerwind/src/state.rs
@@ -2,6 +2,7 @@
 
 use crate::interface::*;
 pub(crate) use badgerwind_health::Health;
+use badgerwind_placement::WEIGHT_OF_SIZE;
 use std::collections::{BTreeMap, VecDeque};
 
 /// A sum that is forgotten exponentially.
@@ -67,7 +68,7 @@
     }
     /// How many at or after this time.
     pub(crate) fn since(&self, from: Time) -> f64 {
-        self.0.iter().rev().take_while(|&&t| t >= from).count() as f64
+        (self.0.len() - self.0.partition_point(|&t| t < from)) as f64
     }
     pub(crate) fn forget_before(&mut self, from: Time) {
         while self.0.front().is_some_and(|&t| t < from) {
@@ -117,12 +118,26 @@
     /// The most of them a second, a unit of its size.
     pub borne: f64,
     pub sends: Recent,
+    /// Changes whenever all copies are gone at once: what is believed of those of an earlier epoch is void.
+    pub epoch: u64,
+    pub emptied_at: Time,
+    /// When periodic maintenance last came by.
+    pub maintained_at: Time,
 }
 
 impl Worker {
-    pub(crate) fn new(e: &WorkerEntry, heard: Time, limit: f64) -> Self {
+    pub(crate) fn new(e: &WorkerEntry, heard: Time, limit: f64, epoch: u64) -> Self {
         let whole = Health { heard, ..Health::default() };
-        Worker { born: e.born, cold_at: e.born, slow: 1.0, whole, limit, ..Worker::default() }
+        let (born, cold_at, maintained_at) = (e.born, e.born, heard);
+        Worker { born, cold_at, slow: 1.0, whole, limit, epoch, maintained_at, ..Worker::default() }
+    }
+    /// Its weight in the index of cells, in thousandths of a size; 0 where it takes no work.
+    pub(crate) fn weight(&self) -> u64 {
+        if self.ready {
+            (self.size * WEIGHT_OF_SIZE).round().max(1.0) as u64
+        } else {
+            0
+        }
     }
     /// Takes in what the list says; true when the process has started anew.
     pub(crate) fn listed(&mut self, e: &WorkerEntry) -> bool {
@@ -148,9 +163,47 @@
     }
 }
 
+/// Sums over the listed workers, kept as workers change, so that no decision goes over the list.
+#[derive(Debug, Default)]
+pub(crate) struct Totals {
+    /// Ready workers, those of them taken out as a whole, and their sizes and slowness summed up.
+    pub ready: usize,
+    pub tripped: usize,
+    pub size: f64,
+    pub slow: f64,
+    /// Workers that ever served, ready or not, and the most that each bore, summed up.
+    pub bearing: usize,
+    pub borne: f64,
+}
+
+impl Totals {
+    pub(crate) fn include(&mut self, w: &Worker) {
+        if w.ready {
+            self.ready += 1;
+            self.tripped += usize::from(w.whole.tripped);
+            self.size += w.size;
+            self.slow += w.slow;
+        }
+        self.bearing += usize::from(w.borne > 0.0);
+        self.borne += w.borne;
+    }
+    pub(crate) fn exclude(&mut self, w: &Worker) {
+        if w.ready {
+            self.ready -= 1;
+            self.tripped -= usize::from(w.whole.tripped);
+            self.size -= w.size;
+            self.slow -= w.slow;
+        }
+        self.bearing -= usize::from(w.borne > 0.0);
+        self.borne -= w.borne;
+    }
+}
+
 /// What is believed of a function's copies at a worker.
 #[derive(Debug, Default)]
 pub(crate) struct Copies {
+    /// The worker's epoch that this is of.
+    pub epoch: u64,
     /// One of the homes that share the function.
     pub home: bool,
     /// Copies last known to stand.
@@ -203,17 +256,32 @@
     pub erred: Time,
     pub last_loads: f64,
     pub held: Vec<RequestId>,
-    pub copies: BTreeMap<WorkerId, Copies>,
-    /// Workers in its own order, the list they are of, and how many of them share it among front ends.
+    /// Boxed, since most functions have one, and a node of the map has room for eleven.
+    pub copies: BTreeMap<WorkerId, Box<Copies>>,
+    /// The first workers in its own order, and the cells they are of as these stood then; 0 where none are kept.
     pub homes: Vec<WorkerId>,
+    pub cells: u64,
+    /// Change of the index of cells at which these were last looked up, and of the epochs, for its copies.
     pub listed: u64,
+    pub settled: u64,
+    /// How many of the homes share it among front ends.
     pub spread: usize,
     pub had: usize,
     /// As many as crowd marks ask for.
     pub reach: f64,
+    /// When its next step is planned; 0 while it rests.
+    pub plan_at: Time,
+    /// How many of its held requests are in the count of all.
+    pub counted: usize,
 }
 
 impl Function {
+    /// Blends an observed load time in; the change of what is expected.
+    pub(crate) fn observe_load(&mut self, sample: f64, gain: f64) -> f64 {
+        let before = self.load;
+        blend(&mut self.load, sample, gain);
+        self.load - before
+    }
     /// Brings the bins up to now; before the first there was silence since `began`. True when one began.
     pub(crate) fn roll(&mut self, now: Time, began: Time, keep: u64) -> bool {
         let bin = now / self.step;
@@ -318,171 +386,6 @@
     }
 }
 
-/// What a front end remembers.
-#[derive(Debug, Default)]
-pub(crate) struct Memory {
-    pub workers: BTreeMap<WorkerId, Worker>,
-    pub functions: Vec<Function>,
-    pub names: BTreeMap<FunctionId, usize>,
-    /// Places among the functions that stand for none.
-    pub free: Vec<usize>,
-    pub open: BTreeMap<RequestId, Open>,
-    pub arrivals: Recent,
-    pub orders: Recent,
-    pub rate: Decay,
-    pub tenant_rate: Vec<Decay>,
-    /// The same as other front ends told it, and when; and when to tell next.
-    pub told: BTreeMap<u32, (Time, Vec<f64>)>,
-    pub tell_at: Time,
-    /// What of the fleet's wholes is its own.
-    pub parts: Parts,
-    pub class_mean: Vec<f64>,
-    /// Beliefs older than this are not trusted.
-    pub trust_from: Time,
-    pub asked_at: Time,
-    pub logged_at: Time,
-    /// Service time, in expected ones, that hardly an answer exceeds.
-    pub tail: f64,
-    /// How loaded workers are in the mean.
-    pub mean_load: f64,
-    /// Further tries that the retry budget allows now.
-    pub retries: f64,
-    /// Number of the list, counted up at each change.
-    pub list: u64,
-    /// Beliefs proven false lately.
-    pub surprises: VecDeque<(Time, WorkerId)>,
-}
-
-impl Memory {
-    /// Takes a list in. `limit` is the most own attempts at a worker that has just started.
-    pub(crate) fn listed(&mut self, now: Time, kind: ListKind, entries: Vec<WorkerEntry>, limit: f64) {
-        self.list += 1;
-        if matches!(kind, ListKind::Whole | ListKind::Cached) {
-            self.workers.values_mut().for_each(|w| (w.ready, w.gone) = (false, true));
-        }
-        for e in entries {
-            let w = self.workers.entry(e.worker).or_insert_with(|| Worker::new(&e, now, limit));
-            let restarted = w.listed(&e);
-            if restarted {
-                (w.cold_at, w.cold_sends) = (e.born.max(w.cold_at), 0);
-                (w.whole, w.limit) = (Health::default(), limit);
-            }
-            if restarted || e.availability == Availability::Gone {
-                self.forget_copies(e.worker, now);
-            }
-        }
-    }
-    /// The place of a function not known before.
-    pub(crate) fn named(&mut self, r: &Request, load: f64, step: Span) -> usize {
-        let (name, class) = (r.function.clone(), r.class);
-        let place = self.free.pop().unwrap_or(self.functions.len());
-        self.names.insert(name.clone(), place);
-        self.functions.resize_with(self.functions.len().max(place + 1), Function::default);
-        self.functions[place] = Function { name, class, load, step, ..Function::default() };
-        place
-    }
-    /// Books a belief proven false; how many there are since `from`, and on how many workers.
-    pub(crate) fn surprise(&mut self, now: Time, worker: WorkerId, from: Time) -> (usize, bool) {
-        self.surprises.push_back((now, worker));
-        self.surprises.retain(|s| s.0 >= from);
-        (self.surprises.len(), self.surprises.iter().any(|s| s.1 != worker))
-    }
-    pub(crate) fn ready(&self) -> impl Iterator<Item = &Worker> {
-        self.workers.values().filter(|w| w.ready)
-    }
-    pub(crate) fn mean_slow(&self) -> f64 {
-        let n = self.ready().count().max(1) as f64;
-        (self.ready().map(|w| w.slow).sum::<f64>() / n).max(0.1)
-    }
-    /// Forgets orders and arrivals before one time, sends before another, and starts before a third.
-    pub(crate) fn forget(&mut self, orders: Time, sends: Time, starts: Time) {
-        self.arrivals.forget_before(orders);
-        self.orders.forget_before(orders);
-        for w in self.workers.values_mut() {
-            w.sends.forget_before(sends);
-            w.cold_at = w.cold_at.filter(|&t| t > starts);
-        }
-    }
-    /// Forgets functions not called since, and workers that are gone; what has anything out or in hand stays.
-    pub(crate) fn forget_unused(&mut self, since: Time) {
-        let Memory { functions, names, free, workers, .. } = self;
-        let idle = |c: &Copies| c.out == 0 && c.orders.is_empty();
-        for (place, fun) in functions.iter_mut().enumerate().filter(|(_, f)| f.step > 0) {
-            fun.copies.retain(|id, c| !idle(c) || workers.get(id).is_some_and(|w| !w.gone));
-            if fun.used < since && fun.held.is_empty() && fun.copies.values().all(idle) {
-                names.remove(&fun.name);
-                *fun = Function::default();
-                free.push(place);
-            }
-        }
-        workers.retain(|_, w| !w.gone || w.out > 0 || w.loads > 0);
-    }
-    pub(crate) fn hold(&mut self, f: usize, id: &RequestId) {
-        if !self.functions[f].held.contains(id) {
-            self.functions[f].held.push(id.clone());
-        }
-    }
-    /// A worker is empty again.
-    pub(crate) fn forget_copies(&mut self, worker: WorkerId, now: Time) {
-        for c in self.functions.iter_mut().filter_map(|f| f.copies.get_mut(&worker)) {
-            (c.n, c.known, c.foreign) = (0, now, 0.0);
-        }
-    }
-    /// Marks a request as over; the attempts still out and not called off before.
-    pub(crate) fn end(&mut self, id: &RequestId) -> Vec<u32> {
-        let Some(open) = self.open.get_mut(id) else { return Vec::new() };
-        open.over = true;
-        let out = open.attempts.iter_mut().enumerate().filter(|(_, a)| a.out && !a.called_off);
-        let off = out.map(|(n, a)| (a.called_off = true, n as u32).1).collect();
-        self.functions[open.function].held.retain(|h| h != id);
-        if open.attempts.iter().all(|a| !a.out) {
-            self.open.remove(id);
-        }
-        off
-    }
-    pub(crate) fn begin_attempt(&mut self, id: &RequestId, worker: WorkerId, sent: Time, expected: Span) {
-        let (Some(open), Some(w)) = (self.open.get_mut(id), self.workers.get_mut(&worker)) else { return };
-        let c = self.functions[open.function].copies.entry(worker).or_default();
-        let own = c.out;
-        c.out += 1;
-        w.out += 1;
-        w.sends.push(sent);
-        w.cold_sends += 1;
-        open.attempts.push(Attempt {
-            worker,
-            sent,
-            own,
-            expected,
-            out: true,
-            never_ran: false,
-            free: false,
-            overdue: false,
-            called_off: false,
-        });
-    }
-    /// Books the end of an attempt; `None` for one unknown or ended before.
-    pub(crate) fn end_attempt(
-        &mut self,
-        id: &RequestId,
-        attempt: u32,
-        outcome: Outcome,
-        free: bool,
-    ) -> Option<&Attempt> {
-        let open = self.open.get_mut(id)?;
-        let a = open.attempts.get_mut(attempt as usize).filter(|a| a.out)?;
-        use Outcome::*;
-        (a.out, a.free) = (false, free);
-        a.never_ran = matches!(outcome, Full | ConnectFailed | Moot | Miss);
-        if let Some(w) = self.workers.get_mut(&a.worker) {
-            w.out = w.out.saturating_sub(1);
-        }
-        if let Some(c) = self.functions[open.function].copies.get_mut(&a.worker) {
-            c.out = c.out.saturating_sub(1);
-        }
-        Some(a)
-    }
-}
-
 /// When the lane frees that serves the one with so many `ahead` of it: each serves one and is taken for `each` more.
 pub(crate) fn turn(mut frees: Vec<f64>, ahead: usize, each: f64) -> f64 {
     let mut wait = f64::INFINITY;
--- a/crates/badgerwind/src/sweep.rs
+++ b/crates/badgerwind/src/sweep.rs
@@ -3,6 +3,7 @@
 use crate::dispatch::BINS;
 use crate::interface::*;
 use crate::learn::{BACKOFF, KIND_PAUSE};
+use crate::memory::Upkeep;
 use crate::orders::MOST_COPIES;
 use crate::router::Router;
 use crate::state::*;
@@ -16,40 +17,33 @@
 const AHEAD_SHARE: f64 = 0.6; // Share of the order budget open to loads ahead; the rest is for misses.
 const RENEW_USES: f64 = 0.4; // A copy is renewed when so many uses are expected within another keep-alive.
 const SLOW_SPAN: f64 = 0.5; // Slowness without news fades over this share of the keep-alive.
+const MAINTAINED: usize = 128; // Workers, and functions, that one sweep looks after.
 const UNUSED: u64 = 8; // Keep-alives without a call after which a function is forgotten.
 
 impl Router {
-    pub(crate) fn begin(&mut self, out: &mut Vec<Action>) {
-        if self.began.is_none() {
-            self.began = Some(self.now);
-            let after = 1 + self.rng.u64(0..self.sweep); // front ends do not sweep in step
-            out.push(Action::SetAlarm { after, name: "sweep".into() });
-        }
-    }
-
     pub(crate) fn on_sweep(&mut self, out: &mut Vec<Action>) {
         let now = self.now;
         out.push(Action::SetAlarm { after: self.sweep, name: "sweep".into() });
         let ago = |span| now.saturating_sub(span);
-        self.m.forget(ago(self.set.load_window), ago(self.set.fall_window), ago(self.set.warm_after));
         let due = self.m.asked_at == 0 || self.m.asked_at + self.set.ask_within / 4 < now;
         if self.set.discovery == Discovery::Ask && due {
             self.m.asked_at = now;
             out.push(Action::Subscribe { on: true });
         }
         self.tell(out);
-        let loads = self.m.ready().map(|w| self.load(w)).sum::<f64>();
-        self.m.mean_load = (loads / self.m.ready().count().max(1) as f64).max(0.1);
-        // What answers took fades: one found slow in a bad moment gets hardly an answer to prove otherwise.
-        let fade = (-(self.sweep as f64) / (self.keep() * SLOW_SPAN)).exp();
-        self.m.workers.values_mut().for_each(|w| w.slow = 1.0 + (w.slow - 1.0) * fade);
+        // Nothing is kept of what has long not been called. What answers took fades: one found slow in a bad
+        // moment gets hardly an answer to prove otherwise.
+        let window = ago(self.set.load_window);
+        let (sends, starts) = (ago(self.set.fall_window), ago(self.set.warm_after));
+        let (unused, fade) = (ago(UNUSED * self.keep() as Span), self.keep() * SLOW_SPAN);
+        let upkeep = Upkeep { most: MAINTAINED, now, window, sends, starts, unused, fade };
+        let (visited, pass_ends) = self.m.maintain(&upkeep);
+        let ready = visited.iter().filter_map(|id| self.m.workers.get(id)).filter(|w| w.ready);
+        self.m.average_loads(&ready.map(|w| self.load(w)).collect::<Vec<f64>>(), pass_ends);
         self.find_silent(out);
-        // Nothing is kept of what has long not been called, nor of workers long gone.
-        self.m.forget_unused(ago(UNUSED * self.keep() as Span));
-        for f in 0..self.m.functions.len() {
-            if self.m.functions[f].step == 0 {
-                continue; // a free place
-            }
+        let mut turn = self.m.due_plans(now);
+        turn.extend(&self.m.waiting);
+        for f in turn {
             if !self.m.functions[f].held.is_empty() {
                 self.dispatch(f, out);
             }
@@ -57,6 +51,8 @@
             if new && self.set.may_order && !self.doubtful(f) {
                 self.plan_function(f, out);
             }
+            let warm = self.m.functions[f].copies.keys().any(|id| self.warm(f, *id) > 0);
+            self.m.rest_or_plan_next(f, warm);
         }
     }
 
@@ -76,7 +72,9 @@
                         h.fail(2.0, now, self.set.keep_alive / KIND_PAUSE);
                     }
                 }
+                self.m.totals.exclude(w);
                 let newly = w.whole.heard <= a.sent && w.whole.fail(1.0, now, pause);
+                self.m.totals.include(w);
                 if newly && now > self.m.logged_at + self.set.keep_alive / 4 {
                     self.m.logged_at = now;
                     out.push(Action::Log { text: format!("worker {} answers nothing: taken out", a.worker) });
@@ -110,6 +108,7 @@
 
     /// One function's step: forecast, search, and the first step's loads or drops.
     pub(crate) fn plan_function(&mut self, f: usize, out: &mut Vec<Action>) {
+        self.m.settle(f);
         let (now, keep, mean, fun) = (self.now, self.keep(), self.service(f), &self.m.functions[f]);
         let bins: Vec<f64> = fun.bins.iter().take(fun.bins.len() - 1).copied().collect();
         if fun.spread > 0 && fun.held.is_empty() && bins.iter().all(|&y| y == 0.0) {
@@ -162,7 +161,7 @@
             wait_pain: (mean / aim).min(1.0),
             load_cost: LOAD_COST + self.set.fetch_price,
             drop_reward: self.set.idle_price * DROP_REWARD,
-            most: f64::from(MOST_COPIES) * self.m.workers.len() as f64,
+            most: f64::from(MOST_COPIES) * fun.homes.len() as f64,
             last_loads: fun.last_loads,
         };
         let (loads, drops) = plan(&horizon);
--- a/crates/badgerwind/tests/limits.rs
+++ b/crates/badgerwind/tests/limits.rs
@@ -30,8 +30,15 @@
 #[test]
 fn no_other_source_reads_the_environment_or_the_clock() {
     let mut files = policy();
-    let records = ["state.rs", "interface.rs", "message.rs", "lib.rs"].map(|f| format!("badgerwind/src/{f}"));
-    let others = ["badgerwind-adapter/src/wire.rs", "badgerwind-adapter/src/main.rs"].map(String::from);
+    let records = ["state.rs", "memory.rs", "interface.rs", "message.rs", "lib.rs"];
+    let records = records.map(|f| format!("badgerwind/src/{f}"));
+    let others = [
+        "badgerwind-adapter/src/wire.rs",
+        "badgerwind-adapter/src/main.rs",
+        "badgerwind-cells/src/trie.rs",
+        "badgerwind-cells/src/mix.rs",
+    ]
+    .map(String::from);
     for f in records.into_iter().chain(others) {
         let text = fs::read_to_string(format!("{ROOT}crates/{f}")).unwrap();
         files.push((f, text));
