Rows of the path of a call: a hollow front end, by workers and functions; cold starts

The capacity page needs what the module costs by listed workers and by functions. A hollow front end runs the real Router over scripted workers in simulated time; processor time is taken around the Router alone, the meter's own cost taken off; heap is what is freed when the Router goes.

Cold starts: arithmetic (Poisson, Zipf, Che's characteristic time where room is short) beside a simulated stream, for each front end alone and for a hash that all share, and the queue of loads at a worker.

Tests bound counts, not time. The check of growth passes a path that does not scan and fails one that does; the module's growth is printed and not bounded yet: it still looks at all workers.

--- a/crates/badgerwind-scale/src/error.rs
+++ b/crates/badgerwind-scale/src/error.rs
@@ -65,4 +65,16 @@
         /// What was waited for.
         reason: String,
     },
+    /// A size has no meaning for this row.
+    #[error("option --sizes: {size} {variable}: this row measures {least} to {most}")]
+    SizeOutOfRange {
+        /// The size that was asked for.
+        size: u64,
+        /// What the size counts.
+        variable: &'static str,
+        /// The least that makes sense.
+        least: u64,
+        /// The most that makes sense.
+        most: u64,
+    },
 }
--- a/crates/badgerwind-scale/src/rows/mod.rs
+++ b/crates/badgerwind-scale/src/rows/mod.rs
@@ -1,11 +1,20 @@
 //! All rows, one module a part of the product.
 
+pub mod call_counts;
+pub mod cold_starts;
+pub mod front_end;
+pub mod router;
+pub mod workers;
+
 use crate::error::ScaleError;
 use crate::row::Row;
 
 /// Every row, in the page's order.
 pub fn all() -> Vec<Box<dyn Row>> {
-    Vec::new()
+    let mut all = Vec::new();
+    all.extend(router::rows());
+    all.extend(cold_starts::rows());
+    all
 }
 
 /// The row of this name.
--- /dev/null
+++ b/crates/badgerwind-scale/src/rows/workers.rs
@@ -0,0 +1,184 @@
+//! Scripted workers: a small model of instances that load, serve, queue and are unloaded again, seen only
+//! through calls and load orders. Service and load times depend on the seed, the call and the worker alone,
+//! so that two front ends whose choices differ in one call still see the same times in all others.
+
+use badgerwind::interface::{CopyMark, Outcome, Span, Time, WhenAbsent, WorkerId};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use rand_distr::{Distribution, LogNormal, Poisson};
+use std::collections::HashMap;
+use std::hash::Hasher;
+
+/// Time between a front end and a worker, one way.
+pub const NETWORK: Span = 400;
+/// Median service time; with [`SERVICE_SIGMA`] nine in ten calls take 60 to 140 ms.
+const SERVICE_MEDIAN: f64 = 92_000.0;
+const SERVICE_SIGMA: f64 = 0.25;
+/// Load times are drawn evenly between these.
+const SHORTEST_LOAD: Span = 600_000;
+const LONGEST_LOAD: Span = 1_200_000;
+/// A call that would wait longer than this for a lane is turned away.
+const LONGEST_WAIT: Span = 1_000_000;
+/// Copies of one function at one worker, at the most.
+const MOST_COPIES: u32 = 16;
+
+/// How the workers behave.
+#[derive(Debug, Clone, Copy)]
+pub struct WorkerModel {
+    /// What becomes of a call for a function that is not loaded.
+    pub when_absent: WhenAbsent,
+    /// An idle copy stays for this long.
+    pub keep_alive: Span,
+    /// Calls that one copy runs at a time.
+    pub lanes: u32,
+    /// Mean number of other front ends' calls in hand that an answer mentions; 0: there are none.
+    pub crowd: f64,
+}
+
+/// How a call ends at a worker.
+#[derive(Debug, Clone, Copy)]
+pub struct Reply {
+    /// When the front end has the answer.
+    pub at: Time,
+    /// How the attempt ended.
+    pub outcome: Outcome,
+    /// What is said of the copy.
+    pub mark: CopyMark,
+    /// Calls for the function that the worker held.
+    pub crowd: u32,
+}
+
+/// How a load order ends.
+#[derive(Debug, Clone, Copy)]
+pub struct LoadReply {
+    /// When the front end has the answer.
+    pub at: Time,
+    /// Copies that stand by then.
+    pub copies: u32,
+}
+
+/// A function's copies at one worker.
+#[derive(Debug, Default)]
+struct Instance {
+    /// When each lane is free again; a lane of a copy that loads is free when it is loaded.
+    lanes: Vec<Time>,
+    /// When the copies that stand or load now are all loaded.
+    loaded: Time,
+    /// Ends of the calls in hand.
+    ends: Vec<Time>,
+    /// Last use.
+    used: Time,
+}
+
+/// All workers of the fleet, as far as one front end has used them.
+#[derive(Debug)]
+pub struct ScriptedWorkers {
+    model: WorkerModel,
+    seed: u64,
+    service: LogNormal<f64>,
+    foreign: Option<Poisson<f64>>,
+    instances: HashMap<(WorkerId, u64), Instance>,
+}
+
+impl ScriptedWorkers {
+    /// Workers on which nothing is loaded yet.
+    pub fn new(model: WorkerModel, seed: u64) -> Self {
+        let service = LogNormal::new(SERVICE_MEDIAN.ln(), SERVICE_SIGMA).expect("constants are valid");
+        let foreign = Poisson::new(model.crowd).ok();
+        ScriptedWorkers { model, seed, service, foreign, instances: HashMap::new() }
+    }
+
+    /// The call of this number arrives, sent at this time by the front end.
+    pub fn call(&mut self, sent: Time, worker: WorkerId, function: u64, number: u64) -> Reply {
+        let now = sent + NETWORK;
+        let mut rng = self.rng(worker, function, number);
+        let service = self.service.sample(&mut rng) as Span;
+        let load = load_time(&mut rng);
+        let foreign = self.foreign.map_or(0, |f| f.sample(&mut rng) as u32);
+        let model = self.model;
+        let instance = self.standing(now, worker, function);
+        let mark = match instance.lanes.is_empty() {
+            true if model.when_absent == WhenAbsent::Miss => {
+                return Reply { at: now + NETWORK, outcome: Outcome::Miss, mark: CopyMark::Untold, crowd: 0 };
+            }
+            true => {
+                instance.add_copies(1, model.lanes, now + load);
+                CopyMark::BeganLoad
+            }
+            false if instance.loaded > now => CopyMark::WaitedForLoad,
+            false => CopyMark::Warm,
+        };
+        let crowd = instance.ends.len() as u32 + foreign;
+        let reply = |at, outcome| Reply { at: at + NETWORK, outcome, mark, crowd };
+        match instance.serve(now, service) {
+            Some(end) => reply(end, Outcome::Ok),
+            None => reply(now, Outcome::Full),
+        }
+    }
+
+    /// A load order arrives, sent at this time: at least so many copies are to stand.
+    pub fn load(&mut self, sent: Time, worker: WorkerId, function: u64, copies: u32) -> LoadReply {
+        let now = sent + NETWORK;
+        let load = load_time(&mut self.rng(worker, function, sent));
+        let lanes = self.model.lanes;
+        let instance = self.standing(now, worker, function);
+        let standing = instance.lanes.len() as u32 / lanes.max(1);
+        let missing = copies.min(MOST_COPIES).saturating_sub(standing);
+        instance.used = instance.used.max(now);
+        if missing == 0 {
+            return LoadReply { at: now + NETWORK, copies: standing };
+        }
+        instance.add_copies(missing, lanes, now + load);
+        LoadReply { at: now + load + NETWORK, copies: standing + missing }
+    }
+
+    /// The copies of a function at a worker are unloaded.
+    pub fn unload(&mut self, worker: WorkerId, function: u64) {
+        self.instances.remove(&(worker, function));
+    }
+
+    fn rng(&self, worker: WorkerId, function: u64, number: u64) -> StdRng {
+        let mut hasher = fnv::FnvHasher::default();
+        hasher.write_u64(self.seed);
+        hasher.write_u32(worker);
+        hasher.write_u64(function);
+        hasher.write_u64(number);
+        StdRng::seed_from_u64(hasher.finish())
+    }
+
+    fn standing(&mut self, now: Time, worker: WorkerId, function: u64) -> &mut Instance {
+        let keep_alive = self.model.keep_alive;
+        let instance = self.instances.entry((worker, function)).or_default();
+        instance.ends.retain(|end| *end > now);
+        if instance.used + keep_alive < now {
+            *instance = Instance { used: now, ..Instance::default() };
+        }
+        instance
+    }
+}
+
+fn load_time(rng: &mut StdRng) -> Span {
+    rng.random_range(SHORTEST_LOAD..=LONGEST_LOAD)
+}
+
+impl Instance {
+    fn add_copies(&mut self, copies: u32, lanes: u32, loaded: Time) {
+        self.lanes.extend((0..copies * lanes).map(|_| loaded));
+        self.loaded = self.loaded.max(loaded);
+        self.used = self.used.max(loaded);
+    }
+
+    /// Takes the lane that frees first; the end of the call, or none where the wait would be too long.
+    fn serve(&mut self, now: Time, service: Span) -> Option<Time> {
+        let lane = self.lanes.iter_mut().min_by_key(|free| **free)?;
+        let begin = now.max(*lane);
+        if begin - now > LONGEST_WAIT.max(LONGEST_LOAD) {
+            return None;
+        }
+        let end = begin + service;
+        *lane = end;
+        self.ends.push(end);
+        self.used = self.used.max(end);
+        Some(end)
+    }
+}
