Rows of hard cases, and copies kept loaded by the rest of the fleet

The hollow front end had the fleet's workers to itself: with 400,000 functions half of its calls found no copy. Workers can now hold copies that the calls of other front ends keep loaded. Hard cases of the path of a call have a row: functions called once, a function that grows a thousandfold, a lost cell, a restarted front end.

Cold starts by exponent: with 1.4 million calls a second over 400,000 functions most functions are called less than once a minute only from a Zipf exponent of 1.40 on; a test says so.

--- a/crates/badgerwind-scale/src/rows/cold_starts.rs
+++ b/crates/badgerwind-scale/src/rows/cold_starts.rs
@@ -26,6 +26,7 @@
 const SERVICE: f64 = 0.1;
 /// Steps of the search for the characteristic time.
 const BISECTIONS: u32 = 60;
+const EXPONENT_BISECTIONS: u32 = 16;
 /// A function called once a minute.
 const RARE: f64 = 1.0 / 60.0;
 const SECONDS_A_DAY: f64 = 86_400.0;
@@ -103,6 +104,11 @@
         low
     }
 
+    /// Calls a second of the most called function.
+    pub fn most_called(&self) -> f64 {
+        self.rates.first().copied().unwrap_or(0.0)
+    }
+
     /// Mean number of functions that are called at least once in so many seconds.
     pub fn called_within(&self, seconds: f64) -> f64 {
         self.rates.iter().map(|rate| 1.0 - (-rate * seconds).exp()).sum()
@@ -133,11 +139,16 @@
     };
 }
 
-const EXPONENTS: [(f64, [Metric; 10]); 3] = [
+/// Zipf exponents. From about 1.4 on most functions are called less than once a minute, as the plan has it.
+const EXPONENTS: [(f64, [Metric; 10]); 5] = [
     (0.8, metrics_of_exponent!("0.8")),
     (1.0, metrics_of_exponent!("1.0")),
     (1.2, metrics_of_exponent!("1.2")),
+    (1.4, metrics_of_exponent!("1.4")),
+    (1.6, metrics_of_exponent!("1.6")),
 ];
+const LEAST_EXPONENT: Metric =
+    Metric { name: "Zipf exponent from which most functions are called less than once a minute", unit: "" };
 const DAYS_BETWEEN: Metric =
     Metric { name: "days between calls at one front end of a function called once a minute", unit: "days" };
 
@@ -146,6 +157,20 @@
     f64::from(FRONT_ENDS) / rate / SECONDS_A_DAY
 }
 
+/// The exponent at which half of the functions are called less than once a minute, the whole fleet's calls given.
+pub fn exponent_of_mostly_rare() -> f64 {
+    let (mut low, mut high) = (0.0, 4.0);
+    for _ in 0..EXPONENT_BISECTIONS {
+        let middle = (low + high) / 2.0;
+        if Demand::new(FUNCTIONS, middle, CALLS_PER_SECOND).rare().0 < 0.5 {
+            low = middle;
+        } else {
+            high = middle;
+        }
+    }
+    high
+}
+
 /// Share of cold calls by keep-alive, for three exponents and both placements.
 struct ColdShare;
 
@@ -191,6 +216,7 @@
             let values = cold_figures(exponent, keep_alive);
             all.extend(metrics.into_iter().zip(values).map(|(metric, value)| Measurement { metric, value }));
         }
+        all.push(Measurement { metric: LEAST_EXPONENT, value: exponent_of_mostly_rare() });
         all.push(Measurement { metric: DAYS_BETWEEN, value: days_between_calls(RARE) });
         Ok(all)
     }
@@ -242,10 +268,31 @@
     cold as f64 / counted.max(1) as f64
 }
 
-const ARITHMETIC_ALONE: Metric = Metric { name: "one front end alone, arithmetic", unit: "of 1,000" };
-const SIMULATED_ALONE: Metric = Metric { name: "one front end alone, simulated", unit: "of 1,000" };
-const ARITHMETIC_SHARED: Metric = Metric { name: "all calls of the fleet, arithmetic", unit: "of 1,000" };
-const SIMULATED_SHARED: Metric = Metric { name: "all calls of the fleet, simulated", unit: "of 1,000" };
+macro_rules! metrics_of_streams {
+    ($exponent:literal) => {
+        [
+            Metric {
+                name: concat!("one front end alone, Zipf ", $exponent, ", arithmetic"),
+                unit: "of 1,000",
+            },
+            Metric {
+                name: concat!("one front end alone, Zipf ", $exponent, ", simulated"),
+                unit: "of 1,000",
+            },
+            Metric {
+                name: concat!("all calls of the fleet, Zipf ", $exponent, ", arithmetic"),
+                unit: "of 1,000",
+            },
+            Metric {
+                name: concat!("all calls of the fleet, Zipf ", $exponent, ", simulated"),
+                unit: "of 1,000",
+            },
+        ]
+    };
+}
+
+const STREAMS: [(f64, [Metric; 4]); 2] =
+    [(1.0, metrics_of_streams!("1.0")), (1.4, metrics_of_streams!("1.4"))];
 /// Calls of a simulated stream, at the most; longer keep-alives are left to the arithmetic.
 const MOST_CALLS: f64 = 200e6;
 
@@ -262,7 +309,7 @@
     }
 
     fn about(&self) -> &'static str {
-        "streams of calls (Poisson, Zipf 1.0, 400,000 functions) over two keep-alives against the arithmetic; the \
+        "streams of calls (Poisson, Zipf, 400,000 functions) over two keep-alives against the arithmetic; the \
          whole fleet's 1.4 million calls a second as far as 200 million calls go"
     }
 
@@ -288,17 +335,17 @@
 
     fn measure(&self, size: u64, seed: u64) -> Result<Vec<Measurement>, ScaleError> {
         let keep_alive = size as f64;
-        let demand = Demand::new(FUNCTIONS, 1.0, CALLS_PER_SECOND);
         let own = CALLS_PER_SECOND / f64::from(FRONT_ENDS);
-        let figure = |metric, value| Measurement { metric, value };
-        let mut all = vec![
-            figure(ARITHMETIC_ALONE, 1e3 * demand.cold_share(Placement::Alone, keep_alive)),
-            figure(ARITHMETIC_SHARED, 1e3 * demand.cold_share(Placement::Shared, keep_alive)),
-        ];
-        for (metric, rate) in [(SIMULATED_ALONE, own), (SIMULATED_SHARED, CALLS_PER_SECOND)] {
-            if 2.0 * keep_alive * rate <= MOST_CALLS {
-                let share = simulated_cold_share(FUNCTIONS, 1.0, rate, keep_alive, seed);
-                all.push(figure(metric, 1e3 * share));
+        let mut all = Vec::new();
+        let mut add = |metric, share: f64| all.push(Measurement { metric, value: 1e3 * share });
+        for (exponent, [alone, alone_simulated, shared, shared_simulated]) in STREAMS {
+            let demand = Demand::new(FUNCTIONS, exponent, CALLS_PER_SECOND);
+            add(alone, demand.cold_share(Placement::Alone, keep_alive));
+            add(shared, demand.cold_share(Placement::Shared, keep_alive));
+            for (metric, rate) in [(alone_simulated, own), (shared_simulated, CALLS_PER_SECOND)] {
+                if 2.0 * keep_alive * rate <= MOST_CALLS {
+                    add(metric, simulated_cold_share(FUNCTIONS, exponent, rate, keep_alive, seed));
+                }
             }
         }
         Ok(all)
--- a/crates/badgerwind-scale/src/rows/front_end.rs
+++ b/crates/badgerwind-scale/src/rows/front_end.rs
@@ -1,6 +1,6 @@
 //! A hollow front end: the real call path over scripted workers in simulated time, with meters around it.
 
-use super::workers::{Reply, ScriptedWorkers, WorkerModel};
+use super::workers::{Others, Reply, ScriptedWorkers, WorkerModel};
 use crate::cost::ProcessorMeter;
 use badgerwind::interface::*;
 use badgerwind::Router;
@@ -18,6 +18,8 @@
 pub const FRONT_ENDS: u32 = 11_000;
 /// Zones at the planned size.
 pub const ZONES: u32 = 21;
+/// Workers of a cell.
+pub const CELL_WORKERS: u32 = 100;
 /// A second, in the module's unit of time.
 pub const SECOND: Span = 1_000_000;
 /// Events that fall due within this time are handed over together, as the driver does.
@@ -63,6 +65,8 @@
     pub keep_alive: Span,
     /// Mean number of other front ends' calls that an answer mentions.
     pub crowd: f64,
+    /// Calls of other front ends that keep copies loaded; none by default.
+    pub others: Option<Others>,
 }
 
 impl Surroundings {
@@ -76,6 +80,7 @@
             when_absent: WhenAbsent::Miss,
             keep_alive: 60 * SECOND,
             crowd: 0.0,
+            others: None,
         }
     }
 
@@ -140,7 +145,7 @@
 
 /// A worker as the list has it; zones take turns.
 pub fn entry(worker: WorkerId, availability: Availability) -> WorkerEntry {
-    let (zone, cell) = (worker % ZONES, worker / 100);
+    let (zone, cell) = (worker % ZONES, worker / CELL_WORKERS);
     WorkerEntry { worker, zone, cell, kind: 0, size: 1.0, availability, born: None }
 }
 
@@ -185,9 +190,26 @@
 #[derive(Debug)]
 enum Pending {
     Arrival,
-    Answer { call: u64, attempt: usize, reply: Reply },
-    Loaded { worker: WorkerId, function: u64, sent: Time, copies: u32 },
-    Alarm { name: Arc<str> },
+    /// A call beside the others, to one function; more follow until a time.
+    Burst {
+        function: u64,
+        pause: Exp<f64>,
+        until: Time,
+    },
+    Answer {
+        call: u64,
+        attempt: usize,
+        reply: Reply,
+    },
+    Loaded {
+        worker: WorkerId,
+        function: u64,
+        sent: Time,
+        copies: u32,
+    },
+    Alarm {
+        name: Arc<str>,
+    },
 }
 
 /// Something that will happen; ordered by time, then by the order in which it was planned.
@@ -272,6 +294,7 @@
             keep_alive: surroundings.keep_alive,
             lanes: LANES,
             crowd: surroundings.crowd,
+            others: surroundings.others,
         };
         let mut front_end = HollowFrontEnd {
             path,
@@ -316,6 +339,13 @@
         self.costs.processor_us - before
     }
 
+    /// From now on and for so long, further calls arrive for one function, so many a second.
+    pub fn begin_burst(&mut self, function: u64, calls_per_second: f64, span: Span) {
+        let Ok(pause) = Exp::new(calls_per_second) else { return };
+        let until = self.now + span;
+        self.schedule(self.now, Pending::Burst { function, pause, until });
+    }
+
     /// Costs since the last reading.
     pub fn take_costs(&mut self) -> Costs {
         std::mem::take(&mut self.costs)
@@ -391,6 +421,7 @@
     fn event(&mut self, due: Time, pending: Pending) -> Option<Event> {
         match pending {
             Pending::Arrival => Some(self.arrival(due)),
+            Pending::Burst { function, pause, until } => Some(self.burst(due, function, pause, until)),
             Pending::Answer { call, attempt, reply } => self.answer(call, attempt, reply),
             Pending::Loaded { worker, function, sent, copies } => Some(Event::Loaded {
                 worker,
@@ -408,6 +439,19 @@
         let pause = self.pause.sample(&mut self.rng) * SECOND as f64;
         let function = self.ranks.sample(&mut self.rng) as u64;
         self.schedule(due + pause as Span, Pending::Arrival);
+        self.request(function)
+    }
+
+    fn burst(&mut self, due: Time, function: u64, pause: Exp<f64>, until: Time) -> Event {
+        let next = due + (pause.sample(&mut self.rng) * SECOND as f64) as Span;
+        if next < until {
+            self.schedule(next, Pending::Burst { function, pause, until });
+        }
+        self.request(function)
+    }
+
+    /// A call for a function arrives now.
+    fn request(&mut self, function: u64) -> Event {
         let number = self.arrived;
         self.arrived += 1;
         self.costs.calls += 1;
--- /dev/null
+++ b/crates/badgerwind-scale/src/rows/hard_cases.rs
@@ -0,0 +1,156 @@
+//! Rows of hard cases on the path of a call: functions that are called once, a function that grows a
+//! thousandfold in a second, a lost cell, and a front end that has just restarted.
+
+use super::cold_starts::{self, Demand};
+use super::front_end::{Costs, HollowFrontEnd, Surroundings, CALLS_PER_SECOND, CELL_WORKERS, SECOND};
+use super::router::{CORE_SHARE_BOUND, MEMORY_BOUND};
+use super::workers::Others;
+use crate::error::ScaleError;
+use crate::row::{Bound, Measurement, Metric, Role, Row};
+use badgerwind::interface::{Availability, ListKind, Span, WorkerEntry};
+
+const FUNCTIONS: u64 = 1_000;
+const MANY_FUNCTIONS: u64 = 400_000;
+const WARM_UP: Span = 10 * SECOND;
+const MEASURED: Span = 10 * SECOND;
+/// The function that grows, among the rarely called ones, and its calls a second once it has grown.
+const GROWN: u64 = 900;
+const GROWN_RATE: f64 = CALLS_PER_SECOND;
+const LOST_CELL: u32 = 0;
+
+const ONCE_TIME: Metric = Metric { name: "functions called once: processor time a second", unit: "us/s" };
+const ONCE_HEAP: Metric = Metric { name: "functions called once: heap a call", unit: "B" };
+const ONCE_HEAP_SETTLED: Metric =
+    Metric { name: "functions called once: heap after eight keep-alives, arithmetic", unit: "B" };
+const GROWN_TIME: Metric = Metric { name: "a function grows a thousandfold: time of a call", unit: "us" };
+const GROWN_REFUSED: Metric =
+    Metric { name: "a function grows a thousandfold: calls refused", unit: "of 1,000" };
+const GROWN_ORDERS: Metric = Metric { name: "a function grows a thousandfold: load orders", unit: "orders" };
+const CELL_TIME: Metric =
+    Metric { name: "a cell of 100 is lost: processor time in the next second", unit: "us/s" };
+const CELL_COLD: Metric =
+    Metric { name: "a cell of 100 is lost: cold calls in the next 10 s", unit: "of 1,000" };
+const RESTART_TIME: Metric =
+    Metric { name: "front end restarted, 400,000 functions: processor time a second", unit: "us/s" };
+const RESTART_COLD: Metric =
+    Metric { name: "front end restarted, 400,000 functions: cold calls in the first 10 s", unit: "of 1,000" };
+
+/// All rows of this part.
+pub fn rows() -> Vec<Box<dyn Row>> {
+    vec![Box::new(HardCases)]
+}
+
+struct HardCases;
+
+impl Row for HardCases {
+    fn name(&self) -> &'static str {
+        "router-hard-cases"
+    }
+
+    fn role(&self) -> Role {
+        Role::FrontEndCall
+    }
+
+    fn about(&self) -> &'static str {
+        "one Router at 127 calls a second: functions called once each; a function that grows a thousandfold in a \
+         second; a lost cell; a restart with an empty memory while the fleet's copies stand"
+    }
+
+    fn variable(&self) -> &'static str {
+        "listed workers"
+    }
+
+    fn sizes(&self) -> &'static [u64] {
+        &[120, 1_000, 4_000, 16_000]
+    }
+
+    fn planned(&self) -> u64 {
+        16_000
+    }
+
+    fn bounds(&self) -> Vec<Bound> {
+        let core = |metric| Bound { metric, most: CORE_SHARE_BOUND, source: "1% of a core" };
+        let memory = Bound { metric: ONCE_HEAP_SETTLED, most: MEMORY_BOUND, source: "128 MB a front end" };
+        vec![core(ONCE_TIME), core(CELL_TIME), core(RESTART_TIME), memory]
+    }
+
+    fn bytes_needed(&self, size: u64) -> u64 {
+        let calls = (2 * (WARM_UP + MEASURED) / SECOND) * CALLS_PER_SECOND as u64;
+        size.saturating_mul(2_000 + 4 * calls).saturating_add(16 * MANY_FUNCTIONS)
+    }
+
+    fn measure(&self, size: u64, seed: u64) -> Result<Vec<Measurement>, ScaleError> {
+        let workers = u32::try_from(size).unwrap_or(u32::MAX);
+        let mut all = functions_called_once(workers, seed);
+        all.extend(grown_function(workers, seed));
+        all.extend(lost_cell(workers, seed));
+        all.extend(restarted(workers, seed));
+        Ok(all)
+    }
+}
+
+fn figure(metric: Metric, value: f64) -> Measurement {
+    Measurement { metric, value }
+}
+
+fn a_second(costs: &Costs) -> f64 {
+    costs.per_call(costs.processor_us) * CALLS_PER_SECOND
+}
+
+fn cold(costs: &Costs) -> f64 {
+    1e3 * costs.per_call(costs.cold as f64)
+}
+
+/// Calls are spread evenly over 400,000 functions: hardly one is called twice.
+fn functions_called_once(workers: u32, seed: u64) -> Vec<Measurement> {
+    let surroundings = Surroundings { exponent: 0.0, ..Surroundings::new(workers, MANY_FUNCTIONS) };
+    let list = HollowFrontEnd::new(surroundings, seed).into_heap_bytes() as f64;
+    let mut front_end = HollowFrontEnd::new(surroundings, seed);
+    front_end.run(MEASURED);
+    let costs = front_end.take_costs();
+    let of_call = costs.per_call(front_end.into_heap_bytes() as f64 - list);
+    let remembered = 8.0 * surroundings.keep_alive as f64 / SECOND as f64 * CALLS_PER_SECOND;
+    let settled = list + of_call * remembered;
+    vec![figure(ONCE_TIME, a_second(&costs)), figure(ONCE_HEAP, of_call), figure(ONCE_HEAP_SETTLED, settled)]
+}
+
+fn grown_function(workers: u32, seed: u64) -> Vec<Measurement> {
+    let mut front_end = HollowFrontEnd::new(Surroundings::new(workers, FUNCTIONS), seed);
+    front_end.run(WARM_UP);
+    front_end.take_costs();
+    front_end.begin_burst(GROWN, GROWN_RATE, MEASURED);
+    front_end.run(MEASURED);
+    let costs = front_end.take_costs();
+    vec![
+        figure(GROWN_TIME, costs.per_call(costs.processor_us)),
+        figure(GROWN_REFUSED, 1e3 * costs.per_call(costs.refused as f64)),
+        figure(GROWN_ORDERS, costs.orders as f64),
+    ]
+}
+
+fn lost_cell(workers: u32, seed: u64) -> Vec<Measurement> {
+    let surroundings = Surroundings::new(workers, FUNCTIONS);
+    let mut front_end = HollowFrontEnd::new(surroundings, seed);
+    front_end.run(WARM_UP);
+    let cell = surroundings.entries().into_iter().filter(|e| e.worker / CELL_WORKERS == LOST_CELL);
+    let gone = cell.map(|e| WorkerEntry { availability: Availability::Gone, ..e }).collect();
+    front_end.take_costs();
+    front_end.list(ListKind::Changes, gone);
+    front_end.run(SECOND);
+    let first = front_end.take_costs();
+    front_end.run(MEASURED - SECOND);
+    let rest = front_end.take_costs();
+    let cold_calls = (first.cold + rest.cold) as f64 / (first.calls + rest.calls).max(1) as f64;
+    vec![figure(CELL_TIME, a_second(&first)), figure(CELL_COLD, 1e3 * cold_calls)]
+}
+
+/// Nothing is known but the list, and the copies that the rest of the fleet uses stand.
+fn restarted(workers: u32, seed: u64) -> Vec<Measurement> {
+    let most_called = Demand::new(MANY_FUNCTIONS, 1.0, cold_starts::CALLS_PER_SECOND).most_called();
+    let others = Some(Others { most_called, exponent: 1.0 });
+    let surroundings = Surroundings { others, ..Surroundings::new(workers, MANY_FUNCTIONS) };
+    let mut front_end = HollowFrontEnd::new(surroundings, seed);
+    front_end.run(MEASURED);
+    let costs = front_end.take_costs();
+    vec![figure(RESTART_TIME, a_second(&costs)), figure(RESTART_COLD, cold(&costs))]
+}
--- a/crates/badgerwind-scale/src/rows/mod.rs
+++ b/crates/badgerwind-scale/src/rows/mod.rs
@@ -3,6 +3,7 @@
 pub mod call_counts;
 pub mod cold_starts;
 pub mod front_end;
+pub mod hard_cases;
 pub mod list_frames;
 pub mod lists;
 pub mod router;
@@ -16,6 +17,7 @@
     let mut all = Vec::new();
     all.extend(router::rows());
     all.extend(lists::rows());
+    all.extend(hard_cases::rows());
     all.extend(cold_starts::rows());
     all
 }
--- a/crates/badgerwind-scale/src/rows/router.rs
+++ b/crates/badgerwind-scale/src/rows/router.rs
@@ -1,7 +1,8 @@
 //! Rows of a front end's path of a call: what the module costs by listed workers and by functions.
 
-use super::cold_starts::Demand;
+use super::cold_starts::{self, Demand};
 use super::front_end::{Costs, HollowFrontEnd, Surroundings, CALLS_PER_SECOND, SECOND};
+use super::workers::Others;
 use crate::error::ScaleError;
 use crate::row::{Bound, Measurement, Metric, Role, Row};
 use badgerwind::interface::{Span, WhenAbsent};
@@ -46,8 +47,14 @@
     vec![
         Box::new(ByWorkers { name: "router-workers", when_absent: WhenAbsent::Miss }),
         Box::new(ByWorkers { name: "router-workers-load", when_absent: WhenAbsent::Load }),
-        Box::new(ByFunctions { name: "router-functions", workers: 1_000, later: Some(HEAP_MUCH_LATER) }),
-        Box::new(ByFunctions { name: "router-functions-16000", workers: 16_000, later: None }),
+        Box::new(ByFunctions {
+            name: "router-functions",
+            workers: 1_000,
+            later: Some(HEAP_MUCH_LATER),
+            fleet: false,
+        }),
+        Box::new(ByFunctions { name: "router-functions-16000", workers: 16_000, later: None, fleet: false }),
+        Box::new(ByFunctions { name: "router-functions-fleet", workers: 16_000, later: None, fleet: true }),
     ]
 }
 
@@ -156,6 +163,8 @@
     workers: u32,
     /// When the heap is measured once more, in simulated time.
     later: Option<Span>,
+    /// Whether the calls of the whole fleet keep copies loaded.
+    fleet: bool,
 }
 
 const HEAP_LATER: Metric = Metric { name: "heap after 180 s, three keep-alives", unit: "B" };
@@ -187,7 +196,13 @@
     }
 
     fn about(&self) -> &'static str {
-        "one Router, functions called by Zipf 1.0, 127 calls a second, keep-alive 60 s; costs from 10 to 60 s"
+        if self.fleet {
+            "one Router, functions called by Zipf 1.0, 127 calls a second, keep-alive 60 s, copies kept loaded by \
+             1.4 million calls a second elsewhere; costs from 10 to 60 s"
+        } else {
+            "one Router, functions called by Zipf 1.0, 127 calls a second, keep-alive 60 s, no calls from \
+             elsewhere; costs from 10 to 60 s"
+        }
     }
 
     fn variable(&self) -> &'static str {
@@ -220,7 +235,11 @@
             let (variable, least, most) = (self.variable(), 1, MOST_FUNCTIONS);
             return Err(ScaleError::SizeOutOfRange { size, variable, least, most });
         }
-        let surroundings = Surroundings::new(self.workers, size);
+        let others = self.fleet.then(|| {
+            let most_called = Demand::new(size, 1.0, cold_starts::CALLS_PER_SECOND).most_called();
+            Others { most_called, exponent: 1.0 }
+        });
+        let surroundings = Surroundings { others, ..Surroundings::new(self.workers, size) };
         let list = HollowFrontEnd::new(surroundings, seed).into_heap_bytes() as f64;
         let mut front_end = HollowFrontEnd::new(surroundings, seed);
         front_end.run(WARM_UP);
--- a/crates/badgerwind-scale/src/rows/workers.rs
+++ b/crates/badgerwind-scale/src/rows/workers.rs
@@ -33,6 +33,25 @@
     pub lanes: u32,
     /// Mean number of other front ends' calls in hand that an answer mentions; 0: there are none.
     pub crowd: f64,
+    /// Calls of other front ends, which keep copies loaded where this one's calls go as well.
+    pub others: Option<Others>,
+}
+
+/// Calls of other front ends, by Zipf's law over the same functions.
+#[derive(Debug, Clone, Copy)]
+pub struct Others {
+    /// Calls a second to the most called function.
+    pub most_called: f64,
+    /// Exponent of the law.
+    pub exponent: f64,
+}
+
+impl Others {
+    /// Probability that a copy stands because another front end called the function within a keep-alive.
+    fn loaded(&self, function: u64, keep_alive: Span) -> f64 {
+        let rate = self.most_called * (function as f64).powf(-self.exponent);
+        1.0 - (-rate * keep_alive as f64 / 1e6).exp()
+    }
 }
 
 /// How a call ends at a worker.
@@ -96,7 +115,12 @@
         let load = load_time(&mut rng);
         let foreign = self.foreign.map_or(0, |f| f.sample(&mut rng) as u32);
         let model = self.model;
+        let loaded = model.others.map_or(0.0, |others| others.loaded(function, model.keep_alive));
+        let by_others = rng.random::<f64>() < loaded;
         let instance = self.standing(now, worker, function);
+        if by_others && instance.lanes.is_empty() {
+            instance.add_copies(1, model.lanes, now);
+        }
         let mark = match instance.lanes.is_empty() {
             true if model.when_absent == WhenAbsent::Miss => {
                 return Reply { at: now + NETWORK, outcome: Outcome::Miss, mark: CopyMark::Untold, crowd: 0 };
--- a/crates/badgerwind-scale/tests/cold_starts.rs
+++ b/crates/badgerwind-scale/tests/cold_starts.rs
@@ -67,3 +67,11 @@
     assert!(late(0.1) < 0.01, "{}", late(0.1));
     assert!(late(0.95) > 0.3, "{}", late(0.95));
 }
+
+#[test]
+fn most_functions_are_called_less_than_once_a_minute_from_an_exponent_of_1_4_on() {
+    let exponent = exponent_of_mostly_rare();
+    assert!(exponent > 1.3 && exponent < 1.5, "{exponent}");
+    let (functions, calls) = Demand::new(FUNCTIONS, exponent, CALLS_PER_SECOND).rare();
+    assert!((functions - 0.5).abs() < 0.01 && calls < 0.01, "{functions} of functions, {calls} of calls");
+}
