--- a/crates/badgerwind-scale/src/rows/mod.rs
+++ b/crates/badgerwind-scale/src/rows/mod.rs
@@ -1,5 +1,7 @@
 //! All rows, one module a part of the product.
 
+pub mod network;
+
 use crate::error::ScaleError;
 use crate::row::Row;
 
