Rows of membership and zones on hollow members; tests of growth with mutants

The capacity page needs slopes for membership and for evidence of zones. Real state machines and codecs run over the simulated network: members-steady, -join, -deaths, -apart, zones-voter, -evidence, -lost. Beyond 1,000 members the steady state is measured on 21 real ones among scripted others; a test holds a sample against a whole fleet. Members::acquainted lets a fleet begin calm, and a test holds that against one that ran for long. Checks on counts at 30 and 90 members and 10 and 40 front ends fail for fleets that ping or tell all others. fit.rs: five orders are found from points that are 2% off, wrong orders show in residuals; bad requests are refused by name through the binary.

--- a/crates/badgerwind-members/src/members.rs
+++ b/crates/badgerwind-members/src/members.rs
@@ -160,6 +160,23 @@
         self
     }
 
+    /// As one that has known these others for long, in these lives, and has nothing left to pass on; for measurements that
+    /// begin in a calm fleet.
+    #[doc(hidden)]
+    pub fn acquainted(mut self, others: impl IntoIterator<Item = (Member, Life)>) -> Members {
+        for (member, life) in others {
+            if let Some(seen) = self.seen.get_mut(&member) {
+                (seen.life, seen.state) = (life, State::Alive);
+            }
+        }
+        self
+    }
+
+    /// What is known of one other; `None` for a number that the settings do not name, and for itself.
+    pub fn seen(&self, member: Member) -> Option<&Seen> {
+        self.seen.get(&member)
+    }
+
     /// Its own number.
     pub fn me(&self) -> Member {
         self.me
--- a/crates/badgerwind-scale/src/rows/mod.rs
+++ b/crates/badgerwind-scale/src/rows/mod.rs
@@ -1,13 +1,23 @@
 //! All rows, one module a part of the product.
 
+pub mod members;
 pub mod network;
+pub mod zones;
 
 use crate::error::ScaleError;
 use crate::row::Row;
 
 /// Every row, in the page's order.
 pub fn all() -> Vec<Box<dyn Row>> {
-    Vec::new()
+    vec![
+        Box::new(members::Steady),
+        Box::new(members::Join),
+        Box::new(members::Deaths),
+        Box::new(members::Apart),
+        Box::new(zones::Voter),
+        Box::new(zones::Teller),
+        Box::new(zones::Lost),
+    ]
 }
 
 /// The row of this name.
