Membership by its field's names: incarnation, probe, ack timeout, local health

Readers of SWIM and Lifeguard should find their terms: life becomes incarnation, its counter of refutations refutations, questions probes, told transmissions, unsure local health, flaw mutant, heard receive.

--- a/crates/badgerwind-gateway/src/shares.rs
+++ b/crates/badgerwind-gateway/src/shares.rs
@@ -10,7 +10,7 @@
 use badgerwind::interface::{Parts, Settings as RouterSettings};
 use badgerwind_budgets::demand::reserve;
 use badgerwind_budgets::{BadTerms, Demand, Member, Message, Node, Standing, Time, To};
-use badgerwind_members::{Members, Message as Word};
+use badgerwind_members::{Members, Message as MembersMessage};
 use badgerwind_settings::{BudgetOf, Budgets, Settings};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -144,17 +144,17 @@
             answer.into_iter().for_each(|a| self.peers.tell(Some(u32::from(from)), &a.bytes()));
             return true;
         }
-        let Some(word) = Word::read(bytes) else { return false };
+        let Some(message) = MembersMessage::read(bytes) else { return false };
         let mut state = self.state();
         let now = self.clock.now();
-        let out = state.members.heard(now, from, &word);
+        let out = state.members.receive(now, from, &message);
         drop(state);
-        self.say(out);
+        self.send_members(out);
         true
     }
 
-    fn say(&self, out: Vec<(Member, Word)>) {
-        out.iter().for_each(|(to, word)| self.peers.tell(Some(u32::from(*to)), &word.bytes()));
+    fn send_members(&self, out: Vec<(Member, MembersMessage)>) {
+        out.iter().for_each(|(to, message)| self.peers.tell(Some(u32::from(*to)), &message.bytes()));
     }
 
     /// Says what is due, and tells the module its parts, for ever.
@@ -174,8 +174,8 @@
         let mut state = self.state();
         let now = self.clock.now();
         let State { budgets, router, node, members, here, told, rng, keeper } = &mut *state;
-        let words = members.tick(now, &mut |n| rng.random_range(0..n.max(1)));
-        let there = members.there();
+        let messages = members.tick(now, &mut |n| rng.random_range(0..n.max(1)));
+        let there = members.alive_count();
         for (n, (here, whole)) in here.iter_mut().zip(&budgets.book.wholes).enumerate() {
             let owned = node.owned(now, n).len();
             let granted = whole.granted().len();
@@ -220,14 +220,14 @@
                 }
             }
         }
-        self.say(words);
+        self.send_members(messages);
         news.then_some(parts)
     }
 
     /// Tells the others that this one goes; they need not suspect it first.
     pub(crate) fn leave(&self) {
-        let words = self.state().members.leave();
-        self.say(words);
+        let messages = self.state().members.leave();
+        self.send_members(messages);
     }
 
     /// All that is known here, for operators.
@@ -282,7 +282,7 @@
             .collect();
         let seen: Vec<Value> = members
             .view()
-            .map(|(m, s)| json!({ "member": m, "state": s.word(), "life": s.life, "round": s.round }))
+            .map(|(m, s)| json!({ "member": m, "state": s.state_name(), "life": s.incarnation, "round": s.refutations }))
             .collect();
         json!({
             "number": members.me(),
@@ -291,7 +291,7 @@
             "keeper": node.believes(),
             "reigns": reigns,
             "lease_ms": budgets.terms.lease / 1000,
-            "health": members.unsure(),
+            "health": members.local_health(),
             "members": seen,
             "budgets": rows,
         })
--- a/crates/badgerwind-members/src/lib.rs
+++ b/crates/badgerwind-members/src/lib.rs
@@ -1,7 +1,7 @@
-//! Who is there: each front end's view of the others, after SWIM (Das, Gupta and Motivala, DSN 2002) and Lifeguard (Dadgar,
+//! Membership: each front end's view of the others, after SWIM (Das, Gupta and Motivala, DSN 2002) and Lifeguard (Dadgar,
 //! Phillips and Currey, 2017). No I/O; time and chance come in as arguments.
 //!
-//! A view is never proof. Nothing that must be safe may rest on it: a wrong one makes things slower or smaller, no more.
+//! A view is never proof, and safety must not depend on it: a wrong view makes things slower or smaller, no more.
 
 #![warn(missing_docs)]
 
@@ -9,8 +9,8 @@
 mod message;
 mod terms;
 
-pub use members::{Members, Seen, State};
-pub use message::{Kind, Message, Update, MOST, UPDATES};
+pub use members::{Members, PeerRecord, State};
+pub use message::{Kind, Message, Update, MAX_BYTES, MAX_UPDATES};
 pub use terms::Terms;
 
 /// A point in time on one member's own clock, in microseconds.
@@ -19,23 +19,23 @@
 pub type Span = u64;
 /// A front end's number, as the settings have it.
 pub type Member = u16;
-/// A member's life, told from its earlier ones: a later one is greater.
-pub type Life = u64;
+/// One run of a member's process: a later run has a greater incarnation.
+pub type Incarnation = u64;
 
 /// Defects that the tests put in on purpose, to show that each is found.
 #[doc(hidden)]
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Flaw {
-    /// It never says that it lives when it hears that it does not.
+pub enum Mutant {
+    /// A member never refutes a suspicion of itself.
     NeverRefutes,
-    /// A suspect is dead at once.
+    /// A member that does not answer is declared dead at once.
     NoSuspicion,
-    /// Old news counts as much as new.
-    TakesOldNews,
-    /// The dead are never asked again.
-    DropsTheDead,
-    /// Its own trouble is always another's.
-    AlwaysSure,
-    /// Nobody else is asked to ask.
-    AsksNobodyElse,
+    /// Stale updates overwrite newer ones.
+    AcceptsStaleUpdates,
+    /// Dead members are never probed again.
+    NeverProbesDead,
+    /// A fault of the member itself is always taken for the fault of others.
+    NoLocalHealth,
+    /// No other member is asked to probe.
+    NoIndirectProbes,
 }
--- a/crates/badgerwind-members/tests/figures.rs
+++ b/crates/badgerwind-members/tests/figures.rs
@@ -9,14 +9,14 @@
     t.map_or("never".into(), |t| format!("{:.1}", t as f64 / SECOND as f64))
 }
 
-/// One dies; seven in ten die at once; they come back at once; 30% of what is said is lost meanwhile, or nothing.
+/// One dies; seven in ten die at once; they come back at once; 30% of all messages are lost meanwhile, or nothing.
 fn row(n: Member, loss: f64, seed: u64) -> String {
     let mut w = World::new(n, seed, None);
     let found = w.until(120 * SECOND, World::agrees);
     w.loss = loss;
-    (w.said, w.bytes) = (0, 0);
+    (w.sent, w.bytes) = (0, 0);
     w.run(5 * SECOND);
-    let (said, bytes) = (w.said / 5, w.bytes / 5);
+    let (sent, bytes) = (w.sent / 5, w.bytes / 5);
     let dead = w.wrongly_dead();
     w.kill(n - 1);
     let one_known = w.until(60 * SECOND, |w| {
@@ -29,14 +29,14 @@
     dying.iter().for_each(|m| w.kill(*m));
     let left = w.members.len();
     let half = w.until(120 * SECOND, |w| {
-        2 * w.members.values().filter(|m| 10 * m.there() <= 11 * left).count() >= left
+        2 * w.members.values().filter(|m| 10 * m.alive_count() <= 11 * left).count() >= left
     });
-    let all = w.until(240 * SECOND, |w| w.members.values().all(|m| m.there() <= left));
+    let all = w.until(240 * SECOND, |w| w.members.values().all(|m| m.alive_count() <= left));
     dying.iter().for_each(|m| w.start(*m));
-    let back = w.until(240 * SECOND, |w| w.members.values().all(|m| m.there() + 1 >= usize::from(n)));
+    let back = w.until(240 * SECOND, |w| w.members.values().all(|m| m.alive_count() + 1 >= usize::from(n)));
     let sum = |a: Option<u64>, b: Option<u64>| a.and_then(|a| b.map(|b| a + b));
     format!(
-        "| {n} | {loss} | {} | {} | {} | {} | {} | {} | {said} | {bytes} | {dead} |",
+        "| {n} | {loss} | {} | {} | {} | {} | {} | {} | {sent} | {bytes} | {dead} |",
         seconds(found),
         seconds(one_known),
         seconds(sum(one_known, one_by_all)),
--- a/crates/badgerwind-members/tests/world/mod.rs
+++ b/crates/badgerwind-members/tests/world/mod.rs
@@ -1,7 +1,7 @@
 //! Members in simulated time over a network that loses, doubles and delays, with the same state machines as on sockets.
 #![allow(dead_code)] // each test file uses its part
 
-use badgerwind_members::{Flaw, Member, Members, Message, State, Terms, Time};
+use badgerwind_members::{Member, Members, Message, Mutant, State, Terms, Time};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
@@ -19,7 +19,7 @@
     pub now: Time,
     pub rng: StdRng,
     pub members: BTreeMap<Member, Members>,
-    /// Stopped processes: they neither hear nor say, and what comes meanwhile waits for them.
+    /// Stopped processes: they neither receive nor send, and what comes meanwhile waits for them.
     pub stopped: BTreeSet<Member>,
     /// Ways, from and to, on which all is lost.
     pub cut: BTreeSet<(Member, Member)>,
@@ -28,17 +28,17 @@
     pub delay: Time,
     /// Members that hear everything so much later.
     pub slow: BTreeMap<Member, Time>,
-    pub said: u64,
+    pub sent: u64,
     pub bytes: u64,
     on_the_way: BinaryHeap<Reverse<OnTheWay>>,
     count: u64,
     n: Member,
-    lives: u64,
-    flaw: Option<Flaw>,
+    incarnations: u64,
+    mutant: Option<Mutant>,
 }
 
 impl World {
-    pub fn new(n: Member, seed: u64, flaw: Option<Flaw>) -> World {
+    pub fn new(n: Member, seed: u64, mutant: Option<Mutant>) -> World {
         let mut w = World {
             now: 0,
             rng: StdRng::seed_from_u64(seed),
@@ -49,13 +49,13 @@
             twice: 0.0,
             delay: 5 * MS,
             slow: BTreeMap::new(),
-            said: 0,
+            sent: 0,
             bytes: 0,
             on_the_way: BinaryHeap::new(),
             count: 0,
             n,
-            lives: 0,
-            flaw,
+            incarnations: 0,
+            mutant,
         };
         (0..n).for_each(|m| w.start(m));
         w
@@ -63,9 +63,10 @@
 
     /// Starts one from nothing, after a kill or for the first time.
     pub fn start(&mut self, m: Member) {
-        self.lives += 1;
+        self.incarnations += 1;
         let first = self.now + self.rng.random_range(0..PERIOD);
-        let one = Members::new(first, (m, self.lives), 0..self.n, Terms::paced(PERIOD)).with(self.flaw);
+        let one =
+            Members::new(first, (m, self.incarnations), 0..self.n, Terms::paced(PERIOD)).with(self.mutant);
         self.members.insert(m, one);
     }
 
@@ -86,8 +87,8 @@
     pub fn send(&mut self, from: Member, out: Vec<(Member, Message)>) {
         for (to, message) in out {
             let bytes = message.bytes();
-            assert!(bytes.len() <= badgerwind_members::MOST);
-            self.said += 1;
+            assert!(bytes.len() <= badgerwind_members::MAX_BYTES);
+            self.sent += 1;
             self.bytes += bytes.len() as u64;
             if self.cut.contains(&(from, to)) || self.rng.random_bool(self.loss) {
                 continue;
@@ -119,7 +120,7 @@
             }
             let message = Message::read(&bytes).unwrap();
             if let Some(one) = self.members.get_mut(&to) {
-                let out = one.heard(self.now, from, &message);
+                let out = one.receive(self.now, from, &message);
                 self.send(to, out);
             }
         }
@@ -154,7 +155,9 @@
             one.view().all(|(of, seen)| {
                 let runs = self.members.get(&of).filter(|_| !self.stopped.contains(&of));
                 match runs {
-                    Some(it) => *by == of || seen.state == State::Alive && seen.life == it.life(),
+                    Some(it) => {
+                        *by == of || seen.state == State::Alive && seen.incarnation == it.incarnation()
+                    }
                     None => matches!(seen.state, State::Dead | State::Left | State::Unknown),
                 }
             })
--- a/crates/badgerwind-scale/src/rows/members.rs
+++ b/crates/badgerwind-scale/src/rows/members.rs
@@ -5,7 +5,7 @@
 use crate::error::ScaleError;
 use crate::row::{Bound, Measurement, Metric, Role, Row};
 use crate::rows::network::{Area, Conditions, Event, Micros, Network, MILLISECOND, SECOND};
-use badgerwind_members::{Kind, Life, Member, Members, Message, State, Terms, Update, UPDATES};
+use badgerwind_members::{Incarnation, Kind, Member, Members, Message, State, Terms, Update, MAX_UPDATES};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeMap;
@@ -55,7 +55,7 @@
     /// Members beyond this one are scripted.
     real: usize,
     size: usize,
-    lives: Vec<Life>,
+    incarnations: Vec<Incarnation>,
     terms: Terms,
     rng: StdRng,
     mutant: Option<Mutant>,
@@ -70,7 +70,7 @@
     match kind {
         Kind::Ping => "ping",
         Kind::Ack => "ack",
-        Kind::PingFor => "indirect ping",
+        Kind::PingRequest => "indirect ping",
         Kind::Nack => "nack",
     }
 }
@@ -90,7 +90,7 @@
             members: Vec::new(),
             real,
             size,
-            lives: vec![1; size],
+            incarnations: vec![1; size],
             terms: Terms::paced(PERIOD),
             rng: StdRng::seed_from_u64(seed ^ 0x6d65_6d62),
             mutant: None,
@@ -116,7 +116,7 @@
     }
 
     fn newcomer(&self, index: usize) -> Members {
-        let me = (index as Member, self.lives[index]);
+        let me = (index as Member, self.incarnations[index]);
         Members::new(self.network.clock(index), me, 0..self.size as Member, self.terms.clone())
     }
 
@@ -141,7 +141,7 @@
 
     /// A member's process starts anew and knows nobody.
     pub fn restart(&mut self, index: usize) {
-        self.lives[index] += 1;
+        self.incarnations[index] += 1;
         self.network.start(index);
         self.members[index] = self.newcomer(index);
         self.begin_timers(index);
@@ -179,13 +179,13 @@
         let now = self.network.clock(to);
         let meter = (to == 0).then(ProcessorMeter::start);
         let Some(message) = Message::read(bytes) else { return };
-        let out = encoded(self.members[to].heard(now, from as Member, &message));
+        let out = encoded(self.members[to].receive(now, from as Member, &message));
         self.processor += meter.map_or(0.0, |m| m.microseconds());
         self.send(to, out);
     }
 
     fn send(&mut self, from: usize, out: Vec<Encoded>) {
-        let requests = out.iter().filter(|(_, kind, _)| *kind == Kind::PingFor).count();
+        let requests = out.iter().filter(|(_, kind, _)| *kind == Kind::PingRequest).count();
         for (to, kind, bytes) in out {
             if self.mutant == Some(Mutant::PingsAll) && kind == Kind::Ping {
                 for other in (0..self.size).filter(|other| *other != from && *other != to) {
@@ -204,7 +204,7 @@
     fn mirror(&mut self, real: usize, requests: usize) {
         for _ in 0..requests {
             let about = self.rng.random_range(0..self.size) as Member;
-            self.scripted_sends(real, Kind::PingFor, about);
+            self.scripted_sends(real, Kind::PingRequest, about);
             self.scripted_sends(real, Kind::Ping, real as Member);
         }
         self.scripted_sends(real, Kind::Ping, real as Member);
@@ -234,7 +234,7 @@
         let Some(message) = Message::read(bytes) else { return };
         match message.kind {
             Kind::Ping => self.scripted_send(to, from, Kind::Ack, message.serial, to as Member),
-            Kind::PingFor => {
+            Kind::PingRequest => {
                 self.serial = self.serial.wrapping_add(1);
                 if self.relayed.len() >= MOST_RELAYED {
                     self.relayed.pop_first();
@@ -260,16 +260,16 @@
     /// A message of a scripted member of a calm fleet: full of what all know.
     fn scripted(&mut self, from: usize, kind: Kind, serial: u32, about: Member) -> Message {
         let first = self.rng.random_range(0..self.size);
-        let known = (0..UPDATES.min(self.size - 1)).map(|n| (first + n) % self.size);
+        let known = (0..MAX_UPDATES.min(self.size - 1)).map(|n| (first + n) % self.size);
         let update = |member: usize| Update {
             member: member as Member,
-            life: self.lives[member],
-            round: 0,
+            incarnation: self.incarnations[member],
+            refutations: 0,
             state: State::Alive,
             by: member as Member,
         };
         let updates = known.map(update).collect();
-        Message { kind, serial, about, life: self.lives[from], round: 0, updates }
+        Message { kind, serial, about, incarnation: self.incarnations[from], refutations: 0, updates }
     }
 
     /// Plays until this holds, looked at four times a second; how long that took.
@@ -287,15 +287,16 @@
     /// Share of pairs of a running member and one of these in which the first takes the second for dead.
     pub fn known_dead(&self, dead: &[usize]) -> f64 {
         let knows = |one: &Members, of: usize| {
-            one.seen(of as Member).is_some_and(|s| matches!(s.state, State::Dead | State::Left))
+            one.peer(of as Member).is_some_and(|s| matches!(s.state, State::Dead | State::Left))
         };
         self.share(dead, knows)
     }
 
-    /// Share of pairs of a running member and one of these in which the first knows that the second lives as it does now.
+    /// Share of pairs of a running member and one of these in which the first knows that the second incarnations as it does now.
     pub fn known_alive(&self, alive: &[usize]) -> f64 {
         let knows = |one: &Members, of: usize| {
-            one.seen(of as Member).is_some_and(|s| s.state == State::Alive && s.life == self.lives[of])
+            one.peer(of as Member)
+                .is_some_and(|s| s.state == State::Alive && s.incarnation == self.incarnations[of])
         };
         self.share(alive, knows)
     }
--- a/crates/badgerwind-scale/tests/members.rs
+++ b/crates/badgerwind-scale/tests/members.rs
@@ -10,7 +10,7 @@
 /// answered late; a ping and an answer each way come to four messages a period.
 const MOST_MESSAGES_A_PERIOD: f64 = 14.0;
 /// Bytes of a message at the most.
-const MOST_BYTES: f64 = badgerwind_members::MOST as f64;
+const MOST_BYTES: f64 = badgerwind_members::MAX_BYTES as f64;
 
 fn steady(size: usize, real: usize, mutant: Option<Mutant>, seed: u64) -> Traffic {
     let mut fleet = Fleet::new(size, real, true, seed).with(mutant);
