--- a/crates/badgerwind-gateway/src/zones.rs
+++ b/crates/badgerwind-gateway/src/zones.rs
@@ -10,7 +10,7 @@
 use async_channel::{Receiver, Sender};
 use badgerwind::interface::{Availability, ListKind, Outcome, Time, WorkerEntry, WorkerId};
 use badgerwind_settings::{Leaving, Settings};
-use badgerwind_zones::{Member, Message, Node, Sign, Why};
+use badgerwind_zones::{Cause, Member, Message, Node, Observation};
 use futures_lite::FutureExt;
 use serde_json::{json, Value};
 use std::collections::BTreeMap;
@@ -22,7 +22,7 @@
     /// The runners as listed, and whether the module was told of them as they are.
     listed: BTreeMap<WorkerId, (WorkerEntry, bool)>,
     /// What was logged last of each zone.
-    told: Vec<(u8, u16, Why)>,
+    told: Vec<(u8, u16, Cause)>,
 }
 
 pub(crate) struct Zones {
@@ -38,16 +38,16 @@
 
 /// What an attempt's or a probe's end shows of its runner.
 enum Shows {
-    Sign(Sign),
+    Seen(Observation),
     /// It was given up unanswered.
     Unanswered,
 }
 
 fn shows(outcome: Outcome, late: bool) -> Option<Shows> {
     match outcome {
-        Outcome::Ok if late => Some(Shows::Sign(Sign::Late)),
-        Outcome::Ok | Outcome::Error | Outcome::Full | Outcome::Miss => Some(Shows::Sign(Sign::Heard)),
-        Outcome::ConnectFailed | Outcome::Reset => Some(Shows::Sign(Sign::Lost)),
+        Outcome::Ok if late => Some(Shows::Seen(Observation::Late)),
+        Outcome::Ok | Outcome::Error | Outcome::Full | Outcome::Miss => Some(Shows::Seen(Observation::Heard)),
+        Outcome::ConnectFailed | Outcome::Reset => Some(Shows::Seen(Observation::Lost)),
         // The module calls off what is overdue; a caller that left is the rarer case, and the next answer corrects it.
         Outcome::Timeout | Outcome::Cancelled => Some(Shows::Unanswered),
         Outcome::Moot => None,
@@ -68,7 +68,7 @@
         let (me, beat) = (settings.router.my_number, Duration::from_micros(terms.beat));
         let zones = settings.zones.len();
         let node = Node::new(clock.now(), me as Member, zones, terms, fastrand::f64());
-        let state = State { node, listed: BTreeMap::new(), told: vec![(0, 0, Why::Fleet); zones] };
+        let state = State { node, listed: BTreeMap::new(), told: vec![(0, 0, Cause::Fleet); zones] };
         let names = settings.zones.clone();
         let state = Mutex::new(state);
         let zones = Arc::new(Zones { clock, me, names, beat, peers, runners, metrics, state });
@@ -82,13 +82,13 @@
         let now = self.clock.now();
         for (zone, word) in leaving.words.iter().enumerate() {
             let is = word.as_ref().map(|w| w.0);
-            if let (true, Some(name)) = (state.node.word_of(zone) != is, self.names.get(zone)) {
+            if let (true, Some(name)) = (state.node.directive(zone) != is, self.names.get(zone)) {
                 let why = word.as_ref().map_or("", |w| w.1.as_str());
                 tracing::info!(zone = %name, word = ?is, why, "an operator's word of a zone");
             }
         }
-        let words: Vec<_> = leaving.words.iter().map(|w| w.as_ref().map(|w| w.0)).collect();
-        state.node.words(now, &words);
+        let directives: Vec<_> = leaving.words.iter().map(|w| w.as_ref().map(|w| w.0)).collect();
+        state.node.set_directives(now, &directives);
     }
 
     fn state(&self) -> MutexGuard<'_, State> {
@@ -99,7 +99,7 @@
     pub(crate) fn ended(&self, now: Time, worker: WorkerId, outcome: Outcome, sent: Time, late: bool) {
         let mut state = self.state();
         match shows(outcome, late) {
-            Some(Shows::Sign(sign)) => state.node.saw(now, worker, sign, sent),
+            Some(Shows::Seen(observation)) => state.node.record(now, worker, observation, sent),
             Some(Shows::Unanswered) => state.node.unanswered(now, worker, sent),
             None => {}
         }
@@ -111,7 +111,7 @@
             return false;
         };
         let now = self.clock.now();
-        let answer = self.state().node.heard(now, member, &message);
+        let answer = self.state().node.receive(now, member, &message);
         answer.into_iter().for_each(|a| self.peers.tell(Some(from), &a.bytes()));
         true
     }
@@ -178,10 +178,10 @@
                 let own = node.sketch(now, zone);
                 tracing::info!(
                     zone = %name,
-                    stage = standing.stage.word(),
+                    stage = standing.stage.name(),
                     share = node.share(zone),
                     generation = standing.generation,
-                    alone = (why == Why::Alone),
+                    alone = (why == Cause::Alone),
                     fronts,
                     hearing = d.hearing,
                     lost_64ths = d.lost,
@@ -233,13 +233,13 @@
             let fleet = node.known(now, n);
             Some(json!({
                 "name": name,
-                "stage": standing.stage.word(),
+                "stage": standing.stage.name(),
                 "share": node.share(n),
                 "generation": standing.generation,
                 "since_ms": now.saturating_sub(standing.since) / 1000,
                 "failed_returns": standing.failed,
-                "alone": why == Why::Alone,
-                "word": node.word_of(n).map(|w| format!("{w:?}").to_lowercase()),
+                "alone": why == Cause::Alone,
+                "word": node.directive(n).map(|w| format!("{w:?}").to_lowercase()),
                 "size": sizes[n],
                 "runners": counts[n],
                 "own": { "heard": own.heard, "late": own.late, "lost": own.lost },
--- a/crates/badgerwind-scale/src/rows/mod.rs
+++ b/crates/badgerwind-scale/src/rows/mod.rs
@@ -15,7 +15,7 @@
         Box::new(members::Deaths),
         Box::new(members::Apart),
         Box::new(zones::Voter),
-        Box::new(zones::Teller),
+        Box::new(zones::Reporter),
         Box::new(zones::Lost),
     ]
 }
--- a/crates/badgerwind-scale/src/rows/zones.rs
+++ b/crates/badgerwind-scale/src/rows/zones.rs
@@ -1,4 +1,4 @@
-//! Evidence of zones: what a front end that tells voters, and a voter that joins what it is told, send, compute and store
+//! Evidence of zones: what a front end that reports to voters, and a voter that aggregates reports, send, compute and store
 //! as front ends and runners grow; and what a zone lost and back costs.
 
 use crate::cost::{HeapMeter, ProcessorMeter};
@@ -7,7 +7,8 @@
 use crate::rows::members::{control_bounds, ENVELOPE, FRONT_ENDS};
 use crate::rows::network::{Conditions, Event, Micros, Network, MILLISECOND, SECOND};
 use badgerwind_zones::{
-    Evidence, Executor, Joiner, Member, Message, Node, Sign, Stage, Terms, ZoneDigest, ZoneTell, ZONES,
+    Aggregator, Evidence, Executor, Member, Message, Node, Observation, Stage, Terms, ZoneDigest, ZoneReport,
+    MAX_ZONES,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -26,7 +27,7 @@
 /// Runners listed by the planned fleet's front ends.
 const RUNNERS: u64 = 16_000;
 /// Messages after whose handling a voter's processor time is taken.
-const MEASURED_TELLS: usize = 64;
+const MEASURED_REPORTS: usize = 64;
 /// How long a front end is measured.
 const STEADY: Micros = 10 * SECOND;
 /// How long an answer takes, and how long an attempt without one.
@@ -35,7 +36,7 @@
 /// Times after which a lost runner is asked again: doubled from the first to the last.
 const AVOID: (Micros, Micros) = (SECOND, 16 * SECOND);
 /// Zones and runners of the fleet in which a zone is lost, and calls a second of a front end there.
-const LOST_FLEET: (usize, u32, f64) = (ZONES, 2, 10.0);
+const LOST_FLEET: (usize, u32, f64) = (MAX_ZONES, 2, 10.0);
 /// The zone that is lost.
 const LOST_ZONE: usize = 1;
 /// Simulated time after which a fleet that has not moved is given up.
@@ -62,26 +63,26 @@
 
 /// Runners dealt out to zones in turn, all of one size.
 fn runners(count: usize) -> impl Iterator<Item = (Executor, usize, f64)> {
-    (0..count).map(|r| (r as Executor, r % ZONES, 1.0))
+    (0..count).map(|r| (r as Executor, r % MAX_ZONES, 1.0))
 }
 
-/// A tell of a front end that hears all zones.
-fn calm_tell(serial: u32, runners_a_zone: u16) -> Message {
-    let zone = ZoneTell { heard: runners_a_zone, ..ZoneTell::default() };
-    Message::Tell { serial, zones: vec![zone; ZONES] }
+/// A report of a front end that hears all zones.
+fn calm_report(serial: u32, runners_a_zone: u16) -> Message {
+    let zone = ZoneReport { heard: runners_a_zone, ..ZoneReport::default() };
+    Message::Report { serial, zones: vec![zone; MAX_ZONES] }
 }
 
 /// A digest by which all zones are well.
 fn calm_digest(serial: u32, members: u16) -> Message {
     let zone = ZoneDigest { lost: -600, late: -600, hearing: members, ..ZoneDigest::default() };
-    Message::Digest { serial, members, zones: vec![zone; ZONES] }
+    Message::Digest { serial, members, zones: vec![zone; MAX_ZONES] }
 }
 
-/// What a voter's table costs by the front ends that tell it.
+/// What a voter's table costs by the front ends that report to it.
 #[derive(Debug)]
 pub struct Voter;
 
-/// Work and messages of a voter for each message that it is told.
+/// Work and messages of a voter for each report.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct VoterCost {
     /// Encoded bytes in and out.
@@ -94,49 +95,49 @@
     pub heap: u64,
 }
 
-/// A voter that so many front ends tell: a table filled by all, then some tells more, measured.
+/// A voter to which so many front ends report: a table filled by all, then some reports more, measured.
 pub fn voter(front_ends: usize) -> VoterCost {
     let terms = terms(front_ends);
-    let mut joiner = Joiner::new(ZONES);
+    let mut aggregator = Aggregator::new(MAX_ZONES);
     let mut evidence = Evidence::new();
     evidence.listed(runners(RUNNERS as usize));
     let now = SECOND;
     for member in 0..front_ends {
-        let Message::Tell { serial, zones } = calm_tell(1, 40) else { continue };
-        joiner.told(now, member as Member, serial, &zones, &terms);
+        let Message::Report { serial, zones } = calm_report(1, 40) else { continue };
+        aggregator.receive(now, member as Member, serial, &zones, &terms);
     }
-    let measured = front_ends.min(MEASURED_TELLS);
-    let tells: Vec<Vec<u8>> = (0..measured).map(|_| calm_tell(2, 40).bytes()).collect();
+    let measured = front_ends.min(MEASURED_REPORTS);
+    let reports: Vec<Vec<u8>> = (0..measured).map(|_| calm_report(2, 40).bytes()).collect();
     let meter = ProcessorMeter::start();
     let mut bytes = 0;
     let mut messages = 0;
-    for (member, tell) in tells.iter().enumerate() {
-        let answer = answer(&mut joiner, &evidence, (now, member as Member), tell, &terms);
-        bytes += tell.len() as u64 + answer.as_ref().map_or(0, |a| a.len() as u64);
+    for (member, report) in reports.iter().enumerate() {
+        let answer = answer(&mut aggregator, &evidence, (now, member as Member), report, &terms);
+        bytes += report.len() as u64 + answer.as_ref().map_or(0, |a| a.len() as u64);
         messages += 1 + u64::from(answer.is_some());
     }
     let processor = meter.microseconds() / measured.max(1) as f64;
     let meter = HeapMeter::start();
-    let copy = joiner.clone();
+    let copy = aggregator.clone();
     let heap = meter.bytes();
     drop(copy);
     let each = measured.max(1) as u64;
     VoterCost { bytes: bytes / each, messages: messages / each, processor, heap }
 }
 
-/// What `Node::heard` does with a tell at a voter.
+/// What `Node::receive` does with a report at a voter.
 fn answer(
-    joiner: &mut Joiner,
+    aggregator: &mut Aggregator,
     evidence: &Evidence,
     (now, from): (Micros, Member),
     bytes: &[u8],
     terms: &Terms,
 ) -> Option<Vec<u8>> {
-    let Some(Message::Tell { serial, zones }) = Message::read(bytes) else { return None };
-    if !joiner.told(now, from, serial, &zones, terms) {
+    let Some(Message::Report { serial, zones }) = Message::read(bytes) else { return None };
+    if !aggregator.receive(now, from, serial, &zones, terms) {
         return None;
     }
-    let (members, zones) = joiner.digest(now, &evidence.counts(ZONES), terms);
+    let (members, zones) = aggregator.digest(now, &evidence.counts(MAX_ZONES), terms);
     Some(Message::Digest { serial, members, zones }.bytes())
 }
 
@@ -148,8 +149,8 @@
         Role::Voter
     }
     fn about(&self) -> &'static str {
-        "a front end that is one of three voters of zones: cost of a tell with all front ends in its table, times the \
-         tells of a second (ten of each front end); 16 zones, the most that a message carries"
+        "a front end that is one of three voters of zones: cost of a report with all front ends in its table, times the \
+         reports of a second (ten of each front end); 16 zones, the most that a message carries"
     }
     fn variable(&self) -> &'static str {
         "front ends"
@@ -168,15 +169,15 @@
     }
     fn measure(&self, size: u64, _seed: u64) -> Result<Vec<Measurement>, ScaleError> {
         let cost = voter(size as usize);
-        let tells = size as f64 * SECOND as f64 / BEAT as f64;
-        let (bytes, messages) = (cost.bytes as f64 * tells, cost.messages as f64 * tells);
+        let reports = size as f64 * SECOND as f64 / BEAT as f64;
+        let (bytes, messages) = (cost.bytes as f64 * reports, cost.messages as f64 * reports);
         let metric = |metric, value| Measurement { metric, value };
         Ok(vec![
             metric(MESSAGES, messages),
             metric(BYTES, bytes),
             metric(ON_WIRE, bytes + messages * ENVELOPE as f64),
-            figure("processor time of a tell", "us", cost.processor),
-            metric(PROCESSOR, cost.processor * tells),
+            figure("processor time of a report", "us", cost.processor),
+            metric(PROCESSOR, cost.processor * reports),
             metric(HEAP, cost.heap as f64),
         ])
     }
@@ -184,16 +185,16 @@
 
 /// What a front end that is no voter does for zones, by the runners that it lists.
 #[derive(Debug)]
-pub struct Teller;
+pub struct Reporter;
 
-/// Figures of one real front end that lists so many runners, makes calls, and tells voters that are scripted.
-pub fn teller(runner_count: usize, seed: u64) -> Vec<Measurement> {
+/// Figures of one real front end that lists so many runners, makes calls, and reports to scripted voters.
+pub fn reporter(runner_count: usize, seed: u64) -> Vec<Measurement> {
     let mut rng = StdRng::seed_from_u64(seed);
     let me = VOTERS as Member;
-    let mut node = Node::new(0, me, ZONES, terms(VOTERS + 1), 0.0);
+    let mut node = Node::new(0, me, MAX_ZONES, terms(VOTERS + 1), 0.0);
     node.evidence.listed(runners(runner_count));
     // All runners have answered at some time: the table of what was seen is full.
-    (0..runner_count).for_each(|r| node.saw(0, r as Executor, Sign::Heard, 0));
+    (0..runner_count).for_each(|r| node.record(0, r as Executor, Observation::Heard, 0));
     let members = 11_000;
     let (mut bytes, mut messages, mut processor) = (0_u64, 0_u64, 0.0);
     let calls_a_tick = CALLS * seconds(TICK);
@@ -206,17 +207,17 @@
             (0..owed as usize).map(|_| rng.random_range(0..runner_count) as Executor).collect();
         owed -= answered.len() as f64;
         let meter = ProcessorMeter::start();
-        answered.iter().for_each(|r| node.saw(now, *r, Sign::Heard, now - ANSWER));
+        answered.iter().for_each(|r| node.record(now, *r, Observation::Heard, now - ANSWER));
         let out: Vec<(Member, u32, Vec<u8>)> =
             node.tick(now).into_iter().map(|(to, message)| (to, serial(&message), message.bytes())).collect();
         processor += meter.microseconds();
-        for (voter, serial, tell) in out {
+        for (voter, serial, report) in out {
             let digest = calm_digest(serial, members).bytes();
-            bytes += (tell.len() + digest.len()) as u64;
+            bytes += (report.len() + digest.len()) as u64;
             messages += 2;
             let meter = ProcessorMeter::start();
             if let Some(message) = Message::read(&digest) {
-                node.heard(now, voter, &message);
+                node.receive(now, voter, &message);
             }
             processor += meter.microseconds();
         }
@@ -238,11 +239,11 @@
 
 fn serial(message: &Message) -> u32 {
     match message {
-        Message::Tell { serial, .. } | Message::Digest { serial, .. } => *serial,
+        Message::Report { serial, .. } | Message::Digest { serial, .. } => *serial,
     }
 }
 
-impl Row for Teller {
+impl Row for Reporter {
     fn name(&self) -> &'static str {
         "zones-evidence"
     }
@@ -269,15 +270,15 @@
         size * 512
     }
     fn measure(&self, size: u64, seed: u64) -> Result<Vec<Measurement>, ScaleError> {
-        Ok(teller(size as usize, seed))
+        Ok(reporter(size as usize, seed))
     }
 }
 
 /// A change for the worse that shows that a check on growth fails when it must.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Mutant {
-    /// Front ends tell all others, not voters alone.
-    TellsAll,
+    /// Front ends report to all others, not to voters alone.
+    ReportsToAll,
 }
 
 /// Real front ends that make calls to runners in zones.
@@ -356,21 +357,21 @@
         let out = self.nodes[member].tick(now);
         let probes =
             if self.nodes[member].beats() == beats { Vec::new() } else { self.nodes[member].probes() };
-        self.tell(member, out);
+        self.report(member, out);
         self.probes += probes.len() as u64;
         probes.into_iter().for_each(|runner| self.ask(member, runner));
         self.calls(member, now);
         self.network.wake_at(member, TIMER_TICK, now + TICK);
     }
 
-    fn tell(&mut self, from: usize, out: Vec<(Member, Message)>) {
+    fn report(&mut self, from: usize, out: Vec<(Member, Message)>) {
         let Some(first) = out.first().cloned() else { return };
         for (to, message) in out {
-            self.network.send(from, usize::from(to), "tell", message.bytes());
+            self.network.send(from, usize::from(to), "report", message.bytes());
         }
-        if self.mutant == Some(Mutant::TellsAll) {
+        if self.mutant == Some(Mutant::ReportsToAll) {
             for other in (VOTERS..self.network.members()).filter(|other| *other != from) {
-                self.network.send(from, other, "tell", first.1.bytes());
+                self.network.send(from, other, "report", first.1.bytes());
             }
         }
     }
@@ -395,7 +396,7 @@
     }
 
     fn is_lost(&self, runner: Executor) -> bool {
-        self.lost_zone == Some(runner as usize % ZONES)
+        self.lost_zone == Some(runner as usize % MAX_ZONES)
     }
 
     fn ask(&mut self, member: usize, runner: Executor) {
@@ -413,7 +414,7 @@
             let avoided = self.avoided.entry((member, runner)).or_insert((0, AVOID.0));
             *avoided = (now + avoided.1, (2 * avoided.1).min(AVOID.1));
         } else {
-            self.nodes[member].saw(now, runner, Sign::Heard, now.saturating_sub(ANSWER));
+            self.nodes[member].record(now, runner, Observation::Heard, now.saturating_sub(ANSWER));
             self.avoided.remove(&(member, runner));
         }
     }
@@ -421,7 +422,7 @@
     fn hear(&mut self, from: usize, to: usize, bytes: &[u8]) {
         let now = self.network.clock(to);
         let Some(message) = Message::read(bytes) else { return };
-        if let Some(answer) = self.nodes[to].heard(now, from as Member, &message) {
+        if let Some(answer) = self.nodes[to].receive(now, from as Member, &message) {
             self.network.send(to, from, "digest", answer.bytes());
         }
     }
@@ -454,10 +455,10 @@
 
     /// Messages and bytes with envelope a second, in and out, of a front end that is no voter, on average.
     pub fn traffic(&self, span: Micros) -> (f64, f64) {
-        let tellers = VOTERS..self.network.members();
-        let count = tellers.len().max(1) as f64 * seconds(span).max(f64::MIN_POSITIVE);
+        let reporters = VOTERS..self.network.members();
+        let count = reporters.len().max(1) as f64 * seconds(span).max(f64::MIN_POSITIVE);
         let (mut messages, mut bytes) = (0, 0);
-        for member in tellers {
+        for member in reporters {
             let traffic = self.network.traffic(member);
             messages += traffic.messages;
             bytes += traffic.bytes + traffic.messages * ENVELOPE;
--- a/crates/badgerwind-scale/tests/zones.rs
+++ b/crates/badgerwind-scale/tests/zones.rs
@@ -3,11 +3,11 @@
 
 use badgerwind_scale::row::Measurement;
 use badgerwind_scale::rows::network::SECOND;
-use badgerwind_scale::rows::zones::{teller, voter, Fleet, Mutant, BEAT};
+use badgerwind_scale::rows::zones::{reporter, voter, Fleet, Mutant, BEAT};
 
 const SMALL: usize = 10;
 const MIDDLE: usize = 40;
-/// A tell and a digest with each of three voters in a beat.
+/// A report and a digest with each of three voters in a beat.
 const MESSAGES_A_BEAT: f64 = 6.0;
 
 /// Messages and bytes a second of a front end that is no voter, in calm and while a zone is lost.
@@ -31,7 +31,7 @@
             if messages > 1.02 * most {
                 return Err(format!("{messages} messages a second at {size}, {most} at most"));
             }
-            if bytes > messages * (badgerwind_zones::MOST as f64 + 28.0) {
+            if bytes > messages * (badgerwind_zones::MAX_BYTES as f64 + 28.0) {
                 return Err(format!("{bytes} bytes in {messages} messages"));
             }
         }
@@ -42,7 +42,7 @@
 #[test]
 fn a_front_end_sends_the_same_whatever_the_fleet_and_the_zones_do() {
     assert_eq!(check_traffic(None), Ok(()));
-    assert!(check_traffic(Some(Mutant::TellsAll)).is_err(), "tells to all must be found");
+    assert!(check_traffic(Some(Mutant::ReportsToAll)).is_err(), "reports to all must be found");
 }
 
 #[test]
@@ -58,7 +58,7 @@
 
 #[test]
 fn the_list_of_runners_adds_nothing_to_what_is_sent() {
-    let (short, long) = (teller(30, 1), teller(600, 1));
+    let (short, long) = (reporter(30, 1), reporter(600, 1));
     assert_eq!(value(&short, "messages/s"), value(&long, "messages/s"));
     assert_eq!(value(&short, "B/s"), value(&long, "B/s"));
 }
--- a/crates/badgerwind-settings/src/read.rs
+++ b/crates/badgerwind-settings/src/read.rs
@@ -370,9 +370,9 @@
     (fleet, rules): (&Checked<'_>, &Checked<'_>),
     zones: &[String],
 ) -> Leaving {
-    if zones.len() < 2 || zones.len() > badgerwind_zones::ZONES {
+    if zones.len() < 2 || zones.len() > badgerwind_zones::MAX_ZONES {
         let what = format!("there are {} zones", zones.len());
-        let right = format!("from 2 to {} zones can be left", badgerwind_zones::ZONES);
+        let right = format!("from 2 to {} zones can be left", badgerwind_zones::MAX_ZONES);
         r.add(l, what, &right);
     }
     let paced = badgerwind_zones::Terms::paced(voters(r, l, fleet), l.span("beat"), rules.span("warm-after"));
@@ -387,9 +387,9 @@
     };
     let word = |z: &Checked<'_>| {
         let word = match z.opt("word")? {
-            "leave" => badgerwind_zones::Word::Leave,
-            "hold" => badgerwind_zones::Word::Hold,
-            _ => badgerwind_zones::Word::Return,
+            "leave" => badgerwind_zones::Directive::Leave,
+            "hold" => badgerwind_zones::Directive::Hold,
+            _ => badgerwind_zones::Directive::Return,
         };
         Some((word, z.string("why")))
     };
--- a/crates/badgerwind-settings/src/typed.rs
+++ b/crates/badgerwind-settings/src/typed.rs
@@ -276,7 +276,7 @@
     /// On what terms.
     pub terms: badgerwind_zones::Terms,
     /// An operator's word of each zone, and why.
-    pub words: Vec<Option<(badgerwind_zones::Word, String)>>,
+    pub words: Vec<Option<(badgerwind_zones::Directive, String)>>,
 }
 
 /// One whole.
--- a/crates/badgerwind-settings/tests/documents.rs
+++ b/crates/badgerwind-settings/tests/documents.rs
@@ -183,7 +183,7 @@
         1,
     );
     let words = read("s.xml", &worded).unwrap().leaving.unwrap().words;
-    assert_eq!(words[0], Some((badgerwind_zones::Word::Leave, "fire & smoke".into())));
+    assert_eq!(words[0], Some((badgerwind_zones::Directive::Leave, "fire & smoke".into())));
     for (from, to, want) in [
         (" why=\"fire &amp; smoke\"", "", "a word stands without why"),
         ("word=\"leave\"", "word=\"burn\"", "word is \"burn\"; give one of leave, hold, return"),
--- a/crates/badgerwind-zones/src/evidence.rs
+++ b/crates/badgerwind-zones/src/evidence.rs
@@ -1,13 +1,13 @@
 //! What one front end saw of each zone on its own sockets: by executor, so that one bad executor with many calls is one bad
 //! executor. Bounded by the executors that are listed.
 
-use crate::{Executor, Flaw, Span, Time};
+use crate::{Executor, Mutant, Span, Time};
 use std::collections::BTreeMap;
 
 /// What an attempt, a connection or a probe showed of an executor.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Sign {
-    /// It answered, whatever it said: it can be reached and works.
+pub enum Observation {
+    /// It answered, whatever the answer was: it can be reached and works.
     Heard,
     /// It answered later than was wanted.
     Late,
@@ -20,7 +20,7 @@
 
 /// An executor as it was seen of late.
 #[derive(Clone, Debug, Default)]
-struct Seen {
+struct ExecutorRecord {
     heard: Option<Time>,
     late: Option<Time>,
     lost: Option<Time>,
@@ -53,8 +53,8 @@
 pub struct Evidence {
     /// Zone and size by executor, as listed.
     listed: BTreeMap<Executor, (usize, f64)>,
-    seen: BTreeMap<Executor, Seen>,
-    flaw: Option<Flaw>,
+    seen: BTreeMap<Executor, ExecutorRecord>,
+    mutant: Option<Mutant>,
 }
 
 impl Evidence {
@@ -65,8 +65,8 @@
 
     /// With a defect; for tests that show that it is found.
     #[doc(hidden)]
-    pub fn with(mut self, flaw: Option<Flaw>) -> Evidence {
-        self.flaw = flaw;
+    pub fn with(mut self, mutant: Option<Mutant>) -> Evidence {
+        self.mutant = mutant;
         self
     }
 
@@ -87,15 +87,15 @@
     }
 
     /// What went out to an executor then has ended.
-    pub fn saw(&mut self, now: Time, executor: Executor, sign: Sign, sent: Time) {
+    pub fn record(&mut self, now: Time, executor: Executor, observation: Observation, sent: Time) {
         if !self.listed.contains_key(&executor) {
             return;
         }
         let seen = self.seen.entry(executor).or_default();
-        match sign {
-            Sign::Heard => (seen.heard, seen.losses) = (Some(now), 0),
-            Sign::Late => (seen.late, seen.losses) = (Some(now), 0),
-            Sign::Lost => {
+        match observation {
+            Observation::Heard => (seen.heard, seen.losses) = (Some(now), 0),
+            Observation::Late => (seen.late, seen.losses) = (Some(now), 0),
+            Observation::Lost => {
                 (seen.lost, seen.losses) = (Some(now), seen.losses + 1);
                 seen.lost_sent = sent;
             }
@@ -106,7 +106,7 @@
     /// late; else it is silent.
     pub fn unanswered(&mut self, now: Time, executor: Executor, sent: Time) {
         let answered = self.seen.get(&executor).is_some_and(|s| s.heard.max(s.late) >= Some(sent));
-        self.saw(now, executor, if answered { Sign::Late } else { Sign::Lost }, sent);
+        self.record(now, executor, if answered { Observation::Late } else { Observation::Lost }, sent);
     }
 
     /// What was seen of a zone: executors that answered within the span that ends now; or, where something went out after the
@@ -118,11 +118,16 @@
         let answered = own().filter_map(|(_, s)| s.heard.max(s.late)).max().unwrap_or(0);
         // A loss counts for longer than an answer: whoever lost an executor hardly asks it any more, and that is no good news.
         let from = now.saturating_sub(span * LOST_SPANS);
-        let lost = |s: &&Seen| {
+        let lost = |s: &&ExecutorRecord| {
             s.lost.is_some_and(|t| t >= from) && s.lost_sent >= not_before && s.lost_sent >= answered
         };
-        let times =
-            |s: &Seen| if self.flaw == Some(Flaw::CountsCalls) { s.losses.clamp(1, 1000) as u16 } else { 1 };
+        let times = |s: &ExecutorRecord| {
+            if self.mutant == Some(Mutant::CountsCalls) {
+                s.losses.clamp(1, 1000) as u16
+            } else {
+                1
+            }
+        };
         let lost: u16 = own().map(|(_, s)| s).filter(lost).map(times).sum();
         if lost > 0 {
             return Sketch { heard: 0, late: 0, lost };
--- a/crates/badgerwind-zones/src/join.rs
+++ b/crates/badgerwind-zones/src/join.rs
@@ -1,9 +1,9 @@
-//! What front ends' words of a zone come to together. Wald's sequential test (1945) by executors seen, each front end's word
+//! Aggregation of front ends' reports of a zone: Wald's sequential test (1945) by executors seen, each front end's contribution
 //! bounded, the loudest left out on either side: one that sees much counts for more, and one that lies for no more than another.
 
-use crate::message::{ZoneDigest, ZoneTell};
+use crate::message::{ZoneDigest, ZoneReport};
 use crate::stages::Stage;
-use crate::{Flaw, Member, Terms, Time};
+use crate::{Member, Mutant, Terms, Time};
 use std::collections::BTreeMap;
 
 /// Share of executors that are lost in a zone that is only unwell.
@@ -12,7 +12,7 @@
 const GONE: f64 = 0.95;
 /// A digest's figures are in this part of a nat.
 const PART: f64 = 64.0;
-/// Front ends whose full word decides; in small fleets all but the one left out.
+/// Front ends whose full contributions decide; in small fleets all but the one that is trimmed.
 const ENOUGH: usize = 4;
 /// From so many on the loudest is left out on either side, and one more for each so many further.
 const TRIM: usize = 4;
@@ -29,100 +29,107 @@
     (1.0 / terms.false_alarm.clamp(1e-12, 0.5)).ln()
 }
 
-/// A front end's word of a zone with so many executors: all of them lost is proof where there are too few for the test.
-fn word(bad: u16, good: u16, listed: usize, terms: &Terms) -> f64 {
+/// A front end's contribution for a zone with so many executors: all of them lost is proof where there are too few for the test.
+fn contribution(bad: u16, good: u16, listed: usize, terms: &Terms) -> f64 {
     let most = weight(listed.clamp(1, usize::from(u16::MAX)) as u16, 0);
     weight(bad, good) * (proven(terms) / most).max(1.0)
 }
 
-/// What is joined of one zone.
+/// Aggregated evidence of one zone.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Joined {
+pub struct Aggregate {
     /// Evidence that it is lost, in nats.
     pub lost: f64,
     /// That it is late.
     pub late: f64,
     /// Front ends that hear it.
     pub hearing: usize,
-    /// Front ends that told.
+    /// Front ends that reported.
     pub members: usize,
 }
 
-/// A voter's table of what it was told.
+/// A voter's table of the latest report of each front end.
 #[derive(Clone, Debug)]
-pub struct Joiner {
+pub struct Aggregator {
     zones: usize,
-    told: BTreeMap<Member, (Time, u32, Vec<ZoneTell>)>,
-    flaw: Option<Flaw>,
+    reports: BTreeMap<Member, (Time, u32, Vec<ZoneReport>)>,
+    mutant: Option<Mutant>,
 }
 
-impl Joiner {
-    /// Told nothing yet.
-    pub fn new(zones: usize) -> Joiner {
-        Joiner { zones, told: BTreeMap::new(), flaw: None }
+impl Aggregator {
+    /// An empty table.
+    pub fn new(zones: usize) -> Aggregator {
+        Aggregator { zones, reports: BTreeMap::new(), mutant: None }
     }
 
     /// With a defect; for tests that show that it is found.
     #[doc(hidden)]
-    pub fn with(mut self, flaw: Option<Flaw>) -> Joiner {
-        self.flaw = flaw;
+    pub fn with(mut self, mutant: Option<Mutant>) -> Aggregator {
+        self.mutant = mutant;
         self
     }
 
-    /// A front end has told. One of before, or of another number of zones, changes nothing.
-    pub fn told(&mut self, now: Time, from: Member, serial: u32, zones: &[ZoneTell], terms: &Terms) -> bool {
-        self.told.retain(|_, t| t.0 + terms.span > now);
-        let old = self.told.get(&from).is_some_and(|t| t.1 >= serial);
+    /// Takes in a report. An older one, or one with another number of zones, changes nothing.
+    pub fn receive(
+        &mut self,
+        now: Time,
+        from: Member,
+        serial: u32,
+        zones: &[ZoneReport],
+        terms: &Terms,
+    ) -> bool {
+        self.reports.retain(|_, t| t.0 + terms.span > now);
+        let old = self.reports.get(&from).is_some_and(|t| t.1 >= serial);
         if old || zones.len() != self.zones {
             return false;
         }
-        self.told.insert(from, (now, serial, zones.to_vec()));
+        self.reports.insert(from, (now, serial, zones.to_vec()));
         true
     }
 
-    /// Words left out on either side.
+    /// Contributions trimmed on either side.
     fn trim(&self, n: usize) -> usize {
         match n {
-            _ if self.flaw == Some(Flaw::NoTrim) => 0,
+            _ if self.mutant == Some(Mutant::NoTrim) => 0,
             0..TRIM => 0,
             n => 1 + n / LIARS,
         }
     }
 
-    /// Words of one kind, joined, of so many front ends that told at all. Those that saw nothing have none; that they are there
-    /// still means that one word alone is not enough.
-    fn sum(&self, terms: &Terms, members: usize, mut words: Vec<f64>) -> f64 {
-        let trim = self.trim(words.len());
+    /// Sum of contributions of one kind, of so many front ends that reported at all. Front ends that saw nothing contribute
+    /// nothing; that they exist still means that one contribution alone is not enough.
+    fn sum(&self, terms: &Terms, members: usize, mut contributions: Vec<f64>) -> f64 {
+        let trim = self.trim(contributions.len());
         let full = match members {
             0 | 1 => 1,
             2 | 3 => 2,
             n => n.saturating_sub(2 * self.trim(n)).clamp(2, ENOUGH),
         };
         let bound = proven(terms) / full as f64;
-        if self.flaw != Some(Flaw::UnboundedWord) {
-            words.iter_mut().for_each(|w| *w = w.clamp(-bound, bound));
+        if self.mutant != Some(Mutant::UnboundedContribution) {
+            contributions.iter_mut().for_each(|c| *c = c.clamp(-bound, bound));
         }
-        words.sort_by(f64::total_cmp);
-        words[trim..words.len() - trim].iter().sum()
+        contributions.sort_by(f64::total_cmp);
+        contributions[trim..contributions.len() - trim].iter().sum()
     }
 
     /// What is known of a zone with so many executors.
-    pub fn joined(&self, now: Time, zone: usize, listed: usize, terms: &Terms) -> Joined {
-        let fresh = self.told.values().filter(|t| t.0 + terms.span > now).filter_map(|t| t.2.get(zone));
-        let fresh: Vec<&ZoneTell> = fresh.collect();
-        // Who saw nothing has no word; it must not be the one that is left out.
-        let words: Vec<f64> = fresh
+    pub fn aggregate(&self, now: Time, zone: usize, listed: usize, terms: &Terms) -> Aggregate {
+        let fresh = self.reports.values().filter(|t| t.0 + terms.span > now).filter_map(|t| t.2.get(zone));
+        let fresh: Vec<&ZoneReport> = fresh.collect();
+        // A front end that saw nothing contributes nothing; it must not be the one that is trimmed.
+        let contributions: Vec<f64> = fresh
             .iter()
             .filter(|t| t.lost + t.heard + t.late > 0)
-            .map(|t| word(t.lost, t.heard.saturating_add(t.late), listed, terms))
+            .map(|t| contribution(t.lost, t.heard.saturating_add(t.late), listed, terms))
             .collect();
         let late: Vec<f64> = fresh
             .iter()
             .filter(|t| t.heard + t.late > 0)
-            .map(|t| word(t.late, t.heard, listed, terms))
+            .map(|t| contribution(t.late, t.heard, listed, terms))
             .collect();
-        Joined {
-            lost: self.sum(terms, fresh.len(), words),
+        Aggregate {
+            lost: self.sum(terms, fresh.len(), contributions),
             late: self.sum(terms, fresh.len(), late),
             hearing: fresh.iter().filter(|t| t.heard + t.late > t.lost).count(),
             members: fresh.len(),
@@ -132,13 +139,13 @@
     /// The newest stage that more than one front end has, so that one alone moves nobody.
     fn newest(&self, zone: usize) -> (u16, Stage, u8) {
         let mut all: Vec<(u16, Stage, u8)> = self
-            .told
+            .reports
             .values()
             .filter_map(|t| t.2.get(zone))
             .map(|z| (z.generation, z.stage, z.failed))
             .collect();
         all.sort_by_key(|a| std::cmp::Reverse((a.0, a.1.severity())));
-        let alone = self.flaw == Some(Flaw::LoneStage);
+        let alone = self.mutant == Some(Mutant::LoneStage);
         let at = if alone { 0 } else { self.trim(all.len()).max(1) };
         if all.len() == 1 {
             all[0]
@@ -147,11 +154,11 @@
         }
     }
 
-    /// The answer to who told.
+    /// The digest that answers a report.
     pub fn digest(&self, now: Time, listed: &[usize], terms: &Terms) -> (u16, Vec<ZoneDigest>) {
         let mut members = 0;
         let one = |zone: usize| {
-            let j = self.joined(now, zone, listed.get(zone).copied().unwrap_or(1), terms);
+            let j = self.aggregate(now, zone, listed.get(zone).copied().unwrap_or(1), terms);
             members = members.max(j.members);
             let (generation, stage, failed) = self.newest(zone);
             let part = |x: f64| (x * PART).clamp(f64::from(i16::MIN), f64::from(i16::MAX)) as i16;
--- a/crates/badgerwind-zones/src/message.rs
+++ b/crates/badgerwind-zones/src/message.rs
@@ -1,20 +1,20 @@
-//! What front ends say to each other of zones: evidence one way, what was joined the other. 256 bytes at most.
+//! Messages about zones: reports of evidence to voters, digests of aggregated evidence in answer. 256 bytes at most.
 //!
-//! `form(1) kind(1) serial(4) count(1)` and for a digest `members(2)`; then by zone for a tell
-//! `heard(2) late(2) lost(2) generation(2) stage(1) quiet(1)`, for a digest `lost(2) late(2) hearing(2) generation(2) stage(1)
+//! `format(1) kind(1) serial(4) count(1)` and for a digest `members(2)`; then by zone for a report
+//! `receive(2) late(2) lost(2) generation(2) stage(1) quiet(1)`, for a digest `lost(2) late(2) hearing(2) generation(2) stage(1)
 //! quiet(1)`, big-endian.
 
 use crate::stages::Stage;
 
 /// Bytes of a message at the most.
-pub const MOST: usize = 256;
+pub const MAX_BYTES: usize = 256;
 /// Zones at the most.
-pub const ZONES: usize = 16;
-const FORM: u8 = 0xb3;
+pub const MAX_ZONES: usize = 16;
+const FORMAT: u8 = 0xb3;
 
-/// One front end's word of a zone.
+/// One front end's report of a zone.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct ZoneTell {
+pub struct ZoneReport {
     /// Executors that answered in time.
     pub heard: u16,
     /// Late.
@@ -29,7 +29,7 @@
     pub failed: u8,
 }
 
-/// What was joined of a zone.
+/// Aggregated evidence of a zone.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ZoneDigest {
     /// Evidence that it is lost, in 64ths of a nat; below 0 that it is not.
@@ -50,15 +50,15 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Message {
     /// To a voter.
-    Tell {
+    Report {
         /// Counted up with each.
         serial: u32,
         /// By place.
-        zones: Vec<ZoneTell>,
+        zones: Vec<ZoneReport>,
     },
     /// Its answer.
     Digest {
-        /// That of the tell.
+        /// That of the report.
         serial: u32,
         /// Front ends heard of lately, that one among them.
         members: u16,
@@ -76,13 +76,13 @@
 impl Message {
     /// As bytes. Zones for which there is no room are left out.
     pub fn bytes(&self) -> Vec<u8> {
-        let mut out = vec![FORM];
+        let mut out = vec![FORMAT];
         match self {
-            Message::Tell { serial, zones } => {
+            Message::Report { serial, zones } => {
                 out.push(0);
                 out.extend(serial.to_be_bytes());
-                out.push(zones.len().min(ZONES) as u8);
-                for z in zones.iter().take(ZONES) {
+                out.push(zones.len().min(MAX_ZONES) as u8);
+                for z in zones.iter().take(MAX_ZONES) {
                     for n in [z.heard, z.late, z.lost, z.generation] {
                         out.extend(n.to_be_bytes());
                     }
@@ -92,9 +92,9 @@
             Message::Digest { serial, members, zones } => {
                 out.push(1);
                 out.extend(serial.to_be_bytes());
-                out.push(zones.len().min(ZONES) as u8);
+                out.push(zones.len().min(MAX_ZONES) as u8);
                 out.extend(members.to_be_bytes());
-                for z in zones.iter().take(ZONES) {
+                for z in zones.iter().take(MAX_ZONES) {
                     out.extend(z.lost.to_be_bytes());
                     out.extend(z.late.to_be_bytes());
                     out.extend(z.hearing.to_be_bytes());
@@ -112,7 +112,7 @@
         let [form, kind] = take(b)?;
         let serial = u32::from_be_bytes(take(b)?);
         let [count] = take(b)?;
-        if form != FORM || usize::from(count) > ZONES {
+        if form != FORMAT || usize::from(count) > MAX_ZONES {
             return None;
         }
         let u16s = |b: &mut &[u8]| take(b).map(u16::from_be_bytes);
@@ -120,7 +120,7 @@
             0 => {
                 let mut zones = Vec::with_capacity(usize::from(count));
                 for _ in 0..count {
-                    zones.push(ZoneTell {
+                    zones.push(ZoneReport {
                         heard: u16s(b)?,
                         late: u16s(b)?,
                         lost: u16s(b)?,
@@ -129,7 +129,7 @@
                         failed: take::<1>(b)?[0],
                     });
                 }
-                Message::Tell { serial, zones }
+                Message::Report { serial, zones }
             }
             1 => {
                 let members = u16s(b)?;
--- a/crates/badgerwind-zones/src/node.rs
+++ b/crates/badgerwind-zones/src/node.rs
@@ -1,21 +1,21 @@
-//! A front end with all its parts: its evidence, its vote's table where it has one, what voters told it, and its stages.
+//! A front end with all its parts: its evidence, its table of reports where it is a voter, the voters' digests, and its stages.
 
-use crate::evidence::{Evidence, Sign, Sketch};
-use crate::join::{nats, proven, Joiner};
-use crate::message::{Message, ZoneDigest, ZoneTell};
-use crate::stages::{Belief, Stage, Stages, Standing, Word};
-use crate::{Executor, Flaw, Member, Terms, Time};
+use crate::evidence::{Evidence, Observation, Sketch};
+use crate::join::{nats, proven, Aggregator};
+use crate::message::{Message, ZoneDigest, ZoneReport};
+use crate::stages::{Belief, Directive, Stage, Stages, Standing};
+use crate::{Executor, Member, Mutant, Terms, Time};
 use std::collections::BTreeMap;
 use std::hash::Hasher;
 
-/// Executors that one front end must have lost, and heard none, to stop sending to a zone by its own word alone.
+/// Executors that one front end must have lost, and heard none, to stop sending to a zone by its own evidence alone.
 const ALONE: u16 = 4;
-/// One that is alone with its word probes once in so many beats: there may be hundreds of them.
+/// A front end that left a zone by its own evidence alone probes once in so many beats: there may be hundreds of them.
 const SELDOM: u64 = 8;
 
-/// Why a zone has the share that it has, for people.
+/// Cause a zone has the share that it has, for people.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Why {
+pub enum Cause {
     /// By the fleet's joint stage.
     Fleet,
     /// This front end hears nothing of it; others may.
@@ -28,18 +28,18 @@
     me: Member,
     terms: Terms,
     zones: usize,
-    /// What it saw; the shell adds to it.
+    /// Its own evidence; the runtime adds to it.
     pub evidence: Evidence,
-    joiner: Joiner,
+    aggregator: Aggregator,
     stages: Stages,
-    /// What voters said: when, and of which tell.
+    /// The voters' digests: when each came, and the report that it answers.
     digests: BTreeMap<Member, (Time, u32, u16, Vec<ZoneDigest>)>,
-    /// Zones that it leaves by its own word alone.
+    /// Zones that it leaves by its own evidence alone.
     alone: Vec<bool>,
     serial: u32,
     beats: u64,
     beat_at: Time,
-    flaw: Option<Flaw>,
+    mutant: Option<Mutant>,
 }
 
 /// A number that differs by pair, the same at each start: FNV-1a over both.
@@ -56,12 +56,12 @@
 impl Node {
     /// A front end that starts now: all zones open until it hears otherwise. `part` is drawn from 0 to 1.
     pub fn new(now: Time, me: Member, zones: usize, terms: Terms, part: f64) -> Node {
-        let zones = zones.min(crate::ZONES);
+        let zones = zones.min(crate::MAX_ZONES);
         Node {
             me,
             zones,
             evidence: Evidence::new(),
-            joiner: Joiner::new(zones),
+            aggregator: Aggregator::new(zones),
             stages: Stages::new(now, zones),
             digests: BTreeMap::new(),
             alone: vec![false; zones],
@@ -69,23 +69,23 @@
             beats: 0,
             beat_at: now + (terms.beat as f64 * part) as Time,
             terms,
-            flaw: None,
+            mutant: None,
         }
     }
 
     /// With a defect; for tests that show that it is found.
     #[doc(hidden)]
-    pub fn with(mut self, flaw: Option<Flaw>) -> Node {
-        self.evidence = self.evidence.with(flaw);
-        self.joiner = self.joiner.with(flaw);
-        self.stages = self.stages.with(flaw);
-        self.flaw = flaw;
+    pub fn with(mut self, mutant: Option<Mutant>) -> Node {
+        self.evidence = self.evidence.with(mutant);
+        self.aggregator = self.aggregator.with(mutant);
+        self.stages = self.stages.with(mutant);
+        self.mutant = mutant;
         self
     }
 
     /// What went out to an executor then has ended.
-    pub fn saw(&mut self, now: Time, executor: Executor, sign: Sign, sent: Time) {
-        self.evidence.saw(now, executor, sign, sent);
+    pub fn record(&mut self, now: Time, executor: Executor, observation: Observation, sent: Time) {
+        self.evidence.record(now, executor, observation, sent);
     }
 
     /// An attempt that went out then was given up unanswered.
@@ -103,29 +103,29 @@
         self.beats += 1;
         self.judge(now);
         self.serial = self.serial.wrapping_add(1);
-        let zones: Vec<ZoneTell> = (0..self.zones).map(|z| self.tell(now, z)).collect();
-        let tell = Message::Tell { serial: self.serial, zones };
+        let zones: Vec<ZoneReport> = (0..self.zones).map(|z| self.report(now, z)).collect();
+        let report = Message::Report { serial: self.serial, zones };
         let mut out = Vec::new();
         for voter in self.terms.voters.clone() {
             if voter != self.me {
-                out.push((voter, tell.clone()));
-            } else if let Some(digest) = self.heard(now, self.me, &tell) {
-                self.heard(now, self.me, &digest);
+                out.push((voter, report.clone()));
+            } else if let Some(digest) = self.receive(now, self.me, &report) {
+                self.receive(now, self.me, &digest);
             }
         }
         out
     }
 
-    /// An operator's word of each zone, by place.
-    pub fn words(&mut self, now: Time, words: &[Option<Word>]) {
+    /// Sets the operator's directive for each zone, by place.
+    pub fn set_directives(&mut self, now: Time, directives: &[Option<Directive>]) {
         for zone in 0..self.zones {
-            self.stages.word(now, zone, words.get(zone).copied().flatten());
+            self.stages.set_directive(now, zone, directives.get(zone).copied().flatten());
         }
     }
 
-    /// The operator's word of a zone.
-    pub fn word_of(&self, zone: usize) -> Option<Word> {
-        self.stages.word_of(zone)
+    /// The operator's directive for a zone.
+    pub fn directive(&self, zone: usize) -> Option<Directive> {
+        self.stages.directive(zone)
     }
 
     /// What it saw of a zone. Once it was left, or comes back, what was lost before says nothing of it any more.
@@ -133,22 +133,22 @@
         self.evidence.sketch(now, zone, self.terms.span, self.stages.all()[zone].fresh_from)
     }
 
-    fn tell(&self, now: Time, zone: usize) -> ZoneTell {
+    fn report(&self, now: Time, zone: usize) -> ZoneReport {
         let Sketch { heard, late, lost } = self.sketch(now, zone);
         let Standing { stage, generation, failed, .. } = self.stages.all()[zone];
-        ZoneTell { heard, late, lost, generation, stage, failed }
+        ZoneReport { heard, late, lost, generation, stage, failed }
     }
 
     /// A message has come. What it answers, if anything.
-    pub fn heard(&mut self, now: Time, from: Member, message: &Message) -> Option<Message> {
+    pub fn receive(&mut self, now: Time, from: Member, message: &Message) -> Option<Message> {
         match message {
-            Message::Tell { serial, zones } => {
+            Message::Report { serial, zones } => {
                 let votes = self.terms.voters.contains(&self.me);
-                if !votes || !self.joiner.told(now, from, *serial, zones, &self.terms) {
+                if !votes || !self.aggregator.receive(now, from, *serial, zones, &self.terms) {
                     return None;
                 }
                 let counts = self.evidence.counts(self.zones);
-                let (members, zones) = self.joiner.digest(now, &counts, &self.terms);
+                let (members, zones) = self.aggregator.digest(now, &counts, &self.terms);
                 Some(Message::Digest { serial: *serial, members, zones })
             }
             Message::Digest { serial, members, zones } => {
@@ -162,10 +162,10 @@
         }
     }
 
-    /// What voters said lately of a zone, the middle of each figure: one of three may say what it likes.
+    /// The median of each figure of the voters' recent digests of a zone: one faulty voter of three decides nothing.
     fn fleet(&self, now: Time, zone: usize) -> Option<(usize, ZoneDigest)> {
         let fresh: Vec<_> = self.digests.values().filter(|d| d.0 + self.terms.span / 2 > now).collect();
-        // With several voters, one alone is no more than one front end's word.
+        // With several voters, one digest alone is no more than one front end's opinion.
         if fresh.is_empty() || fresh.len() < self.terms.voters.len().min(2) {
             return None;
         }
@@ -222,11 +222,11 @@
     fn judge_alone(&mut self, now: Time, sizes: &[f64]) {
         let sketches: Vec<Sketch> = (0..self.zones).map(|z| self.sketch(now, z)).collect();
         let hears =
-            sketches.iter().any(|s| s.heard + s.late > 0) || self.flaw == Some(Flaw::TrustsOwnNetwork);
+            sketches.iter().any(|s| s.heard + s.late > 0) || self.mutant == Some(Mutant::TrustsOwnNetwork);
         let counts = self.evidence.counts(self.zones);
         for (zone, s) in sketches.iter().enumerate() {
             // What the fleet left it asks about for all; what comes back is tried anew.
-            if self.stages.all()[zone].stage == Stage::Left || self.word_of(zone) == Some(Word::Hold) {
+            if self.stages.all()[zone].stage == Stage::Left || self.directive(zone) == Some(Directive::Hold) {
                 self.alone[zone] = false;
                 continue;
             }
@@ -239,13 +239,13 @@
                 let left: f64 =
                     (0..self.zones).filter(|z| *z != zone).map(|z| self.share(z) * sizes[z]).sum();
                 let bound = self.terms.least_left_lost * sizes.iter().sum::<f64>();
-                self.alone[zone] = left >= bound || self.flaw == Some(Flaw::NoPanicBound);
+                self.alone[zone] = left >= bound || self.mutant == Some(Mutant::NoPanicBound);
             }
         }
-        // The fleet may have left others since: its word goes first.
+        // The fleet may have left others since: its stages take precedence.
         let bound = self.terms.least_left_lost * sizes.iter().sum::<f64>();
         let left: f64 = (0..self.zones).map(|z| self.share(z) * sizes[z]).sum();
-        if left < bound && self.flaw != Some(Flaw::NoPanicBound) {
+        if left < bound && self.mutant != Some(Mutant::NoPanicBound) {
             self.alone.fill(false);
         }
     }
@@ -265,13 +265,13 @@
         share >= 1.0 || share > 0.0 && mix(u64::from(executor), u64::from(self.me) + 1) < share
     }
 
-    /// A zone's standing by the fleet, and whether this front end leaves it by its own word.
-    pub fn standing(&self, zone: usize) -> Option<(Standing, Why)> {
-        let why = if self.alone.get(zone).copied()? { Why::Alone } else { Why::Fleet };
+    /// A zone's standing by the fleet, and whether this front end leaves it by its own evidence.
+    pub fn standing(&self, zone: usize) -> Option<(Standing, Cause)> {
+        let why = if self.alone.get(zone).copied()? { Cause::Alone } else { Cause::Fleet };
         Some((*self.stages.of(zone)?, why))
     }
 
-    /// What the fleet's word of a zone is, as last heard: front ends that told, and the figures.
+    /// The fleet's evidence of a zone, as last received: front ends that reported, and the figures.
     pub fn known(&self, now: Time, zone: usize) -> Option<(usize, ZoneDigest)> {
         (zone < self.zones).then(|| self.fleet(now, zone)).flatten()
     }
@@ -281,7 +281,7 @@
         self.zones
     }
 
-    /// Beats so far: a shell asks for probes once in each.
+    /// Beats so far: the runtime asks for probes once in each.
     pub fn beats(&self) -> u64 {
         self.beats
     }
@@ -290,10 +290,10 @@
     /// seldom.
     pub fn probes(&self) -> Vec<Executor> {
         let rank = self.terms.voters.iter().position(|v| *v == self.me);
-        let fleet = rank.is_some_and(|r| r < self.terms.probers) || self.flaw == Some(Flaw::AllProbe);
+        let fleet = rank.is_some_and(|r| r < self.terms.probers) || self.mutant == Some(Mutant::AllProbe);
         let mut out = Vec::new();
         for zone in 0..self.zones {
-            // Also while it comes back: there may be no call to tell how it fares, and it must not stand still for that.
+            // Also while it comes back: there may be no call that shows how it fares, and its return must not wait for one.
             let left = matches!(self.stages.all()[zone].stage, Stage::Left | Stage::Back(_));
             let alone = self.alone[zone];
             let most = match (left && fleet, alone && self.beats % SELDOM == u64::from(self.me) % SELDOM) {
--- a/crates/badgerwind-zones/src/stages.rs
+++ b/crates/badgerwind-zones/src/stages.rs
@@ -1,7 +1,7 @@
 //! Where a front end stands with each zone, and what moves it on. Each change counts a generation up; whoever missed one follows.
 
 use crate::message::ZoneDigest;
-use crate::{Flaw, Terms, Time};
+use crate::{Mutant, Terms, Time};
 
 /// Steps of a return.
 pub const STEPS: u8 = 3;
@@ -56,8 +56,8 @@
             Stage::Back(n) => 0.5f64.powi(i32::from(STEPS - n.min(STEPS - 1))),
         }
     }
-    /// In a word.
-    pub fn word(self) -> &'static str {
+    /// Name of the stage, for reports.
+    pub fn name(self) -> &'static str {
         match self {
             Stage::Open => "open",
             Stage::Lessened => "lessened",
@@ -67,10 +67,10 @@
     }
 }
 
-/// An operator's word of a zone. It goes before all that front ends find, the panic bound too.
+/// An operator's directive for a zone. It takes precedence over all evidence, and over the panic bound.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Word {
-    /// Nothing goes there until the word is taken back; then it returns by steps.
+pub enum Directive {
+    /// Nothing goes there until the directive is withdrawn; then it returns by steps.
     Leave,
     /// It stays as it is.
     Hold,
@@ -78,7 +78,7 @@
     Return,
 }
 
-/// What is believed of a zone, by the fleet's joint word.
+/// What is believed of a zone, by the fleet's aggregated evidence.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Belief {
     /// Nothing that would move anything.
@@ -121,21 +121,21 @@
 #[derive(Clone, Debug)]
 pub struct Stages {
     zones: Vec<Standing>,
-    words: Vec<Option<Word>>,
-    flaw: Option<Flaw>,
+    directives: Vec<Option<Directive>>,
+    mutant: Option<Mutant>,
 }
 
 impl Stages {
     /// All open.
     pub fn new(now: Time, zones: usize) -> Stages {
         let open = Standing { stage: Stage::Open, generation: 0, since: now, failed: 0, fresh_from: 0 };
-        Stages { zones: vec![open; zones], words: vec![None; zones], flaw: None }
+        Stages { zones: vec![open; zones], directives: vec![None; zones], mutant: None }
     }
 
     /// With a defect; for tests that show that it is found.
     #[doc(hidden)]
-    pub fn with(mut self, flaw: Option<Flaw>) -> Stages {
-        self.flaw = flaw;
+    pub fn with(mut self, mutant: Option<Mutant>) -> Stages {
+        self.mutant = mutant;
         self
     }
 
@@ -149,27 +149,27 @@
         &self.zones
     }
 
-    /// An operator's word, or the end of one.
-    pub fn word(&mut self, now: Time, zone: usize, word: Option<Word>) {
-        let Some(own) = self.words.get_mut(zone).filter(|own| **own != word) else { return };
-        *own = word;
-        match (word, self.zones[zone].stage) {
-            (Some(Word::Leave), Stage::Open | Stage::Lessened | Stage::Back(_)) => {
+    /// Sets or withdraws an operator's directive.
+    pub fn set_directive(&mut self, now: Time, zone: usize, directive: Option<Directive>) {
+        let Some(own) = self.directives.get_mut(zone).filter(|own| **own != directive) else { return };
+        *own = directive;
+        match (directive, self.zones[zone].stage) {
+            (Some(Directive::Leave), Stage::Open | Stage::Lessened | Stage::Back(_)) => {
                 self.go(now, zone, Stage::Left, 0)
             }
-            (Some(Word::Return), Stage::Left) => self.go(now, zone, Stage::Back(0), 0),
+            (Some(Directive::Return), Stage::Left) => self.go(now, zone, Stage::Back(0), 0),
             _ => {}
         }
     }
 
-    /// The operator's word of a zone.
-    pub fn word_of(&self, zone: usize) -> Option<Word> {
-        self.words.get(zone).copied().flatten()
+    /// The operator's directive for a zone.
+    pub fn directive(&self, zone: usize) -> Option<Directive> {
+        self.directives.get(zone).copied().flatten()
     }
 
     /// Whether it moves by what is found.
     fn moves(&self, zone: usize) -> bool {
-        !matches!(self.word_of(zone), Some(Word::Leave | Word::Hold))
+        !matches!(self.directive(zone), Some(Directive::Leave | Directive::Hold))
     }
 
     /// What is left in use if a zone came to have a share, as a part of all by size.
@@ -186,7 +186,7 @@
 
     /// Whether a zone may be left, or lessened, by what the rest can bear.
     pub fn may(&self, zone: usize, share: f64, least: f64, sizes: &[f64]) -> bool {
-        self.flaw == Some(Flaw::NoPanicBound) || self.left(sizes, zone, share) >= least
+        self.mutant == Some(Mutant::NoPanicBound) || self.left(sizes, zone, share) >= least
     }
 
     /// Follows a newer generation that the fleet has; and goes back to the fleet's where nobody followed its own for a span: two
@@ -196,7 +196,7 @@
         // Whatever others did, the bound is each one's own: it may stand otherwise with another zone.
         let share = fleet.stage.share();
         let bears = share >= own.stage.share() || self.may(zone, share, terms.least_left_lost, sizes);
-        if !bears || !self.moves(zone) || self.flaw == Some(Flaw::NoGeneration) {
+        if !bears || !self.moves(zone) || self.mutant == Some(Mutant::NoGeneration) {
             return;
         }
         let own = &mut self.zones[zone];
@@ -225,12 +225,12 @@
     /// Moves on by what is believed. `sizes` are those of the zones. Returns the zones that changed.
     pub fn step(&mut self, now: Time, beliefs: &[Belief], sizes: &[f64], terms: &Terms) -> Vec<usize> {
         let before: Vec<u16> = self.zones.iter().map(|z| z.generation).collect();
-        // Where nothing is well and all that is used is lost, the trouble is no place: a store, a release, a network.
+        // Where nothing is well and all that is used is lost, the fault is not the zone's: it is a store, a release, a network.
         let used = |n: usize| self.zones[n].stage != Stage::Left && sizes.get(n).is_some_and(|s| *s > 0.0);
         let all_ill = (0..self.zones.len())
             .filter(|n| used(*n))
             .all(|n| matches!(beliefs.get(n), Some(Belief::Lost(_) | Belief::Late)))
-            && self.flaw != Some(Flaw::NoPanicBound);
+            && self.mutant != Some(Mutant::NoPanicBound);
         // Late is late beside another that is not: a slow store makes every zone late, some a moment sooner than others.
         let other_well =
             |n: usize| beliefs.iter().enumerate().any(|(o, b)| o != n && used(o) && *b == Belief::Well);
@@ -266,12 +266,12 @@
                     self.go(now, n, Stage::Open, failed.saturating_add(1));
                 }
                 (Stage::Left, Belief::Well) if stood >= self.quiet(failed, terms) => {
-                    let once = self.flaw == Some(Flaw::ReturnAtOnce);
+                    let once = self.mutant == Some(Mutant::ReturnAtOnce);
                     self.go(now, n, if once { Stage::Open } else { Stage::Back(0) }, failed);
                 }
                 (Stage::Back(step), Belief::Well) if stood >= terms.step => {
                     let next = if step + 1 < STEPS { Stage::Back(step + 1) } else { Stage::Open };
-                    // What came back may go again: it is told by the next failure, not forgotten at the first success.
+                    // What came back may go again: it is judged by the next failure, not forgotten at the first success.
                     let failed = if next == Stage::Open { failed.saturating_add(1) } else { failed };
                     self.go(now, n, next, failed);
                 }
@@ -287,7 +287,7 @@
 
     /// How long a zone that was left rests; longer each time that it came back, until it stood for long.
     fn quiet(&self, failed: u8, terms: &Terms) -> u64 {
-        let times = if self.flaw == Some(Flaw::NoBackOff) { 0 } else { failed.min(20) };
+        let times = if self.mutant == Some(Mutant::NoBackoff) { 0 } else { failed.min(20) };
         terms.quiet.saturating_mul(1 << times).min(terms.most_quiet)
     }
 }
--- a/crates/badgerwind-zones/src/terms.rs
+++ b/crates/badgerwind-zones/src/terms.rs
@@ -5,11 +5,11 @@
 /// Terms of leaving and returning.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Terms {
-    /// Members to whom evidence is told.
+    /// Members that receive reports of evidence.
     pub voters: Vec<Member>,
-    /// How often a member tells it, in microseconds.
+    /// How often a member reports, in microseconds.
     pub beat: Span,
-    /// Evidence and words older than this count no more, in microseconds.
+    /// Evidence and reports older than this count no more, in microseconds.
     pub span: Span,
     /// Chance of taking a good zone for lost that is borne at each decision (Wald's alpha).
     pub false_alarm: f64,
--- a/crates/badgerwind-zones/tests/leaving.rs
+++ b/crates/badgerwind-zones/tests/leaving.rs
@@ -1,17 +1,29 @@
-//! Troubles of zones and of what front ends say of them, and where the fleet goes. Each hazard is also played with its defect.
+//! Faults of zones and of what front ends report of them, and where the fleet goes. Each hazard is also played with its defect.
 
 mod world;
 
-use badgerwind_zones::{Flaw, Member, Stage, Word};
+use badgerwind_zones::{Directive, Member, Mutant, Stage};
 use world::{Health, World, SECOND};
 
-fn calm(n: Member, zones: usize, seed: u64, flaw: Option<Flaw>) -> World {
-    let mut w = World::new(n, zones, 8, 20.0, seed, flaw);
+fn calm(n: Member, zones: usize, seed: u64, mutant: Option<Mutant>) -> World {
+    let mut w = World::new(n, zones, 8, 20.0, seed, mutant);
     w.run(3 * SECOND);
     assert!((0..zones).all(|z| w.share(z) == 1.0), "a calm fleet uses all zones");
     w
 }
 
+#[test]
+fn the_bytes_on_the_wire_are_those_of_the_format() {
+    use badgerwind_zones::{Message, ZoneDigest, ZoneReport};
+    let stage = Stage::Left;
+    let report = ZoneReport { heard: 2, late: 3, lost: 4, generation: 5, stage, failed: 6 };
+    let report = Message::Report { serial: 1, zones: vec![report] };
+    assert_eq!(report.bytes(), [0xb3, 0, 0, 0, 0, 1, 1, 0, 2, 0, 3, 0, 4, 0, 5, 2, 6]);
+    let digest = ZoneDigest { lost: -2, late: 3, hearing: 4, generation: 5, stage, failed: 6 };
+    let digest = Message::Digest { serial: 1, members: 7, zones: vec![digest] };
+    assert_eq!(digest.bytes(), [0xb3, 1, 0, 0, 0, 1, 1, 0, 7, 0xff, 0xfe, 0, 3, 0, 4, 0, 5, 2, 6]);
+}
+
 #[test]
 fn a_lost_zone_is_left_by_all_and_returned_to_step_by_step() {
     for n in [1, 2, 3, 12, 60] {
@@ -35,8 +47,8 @@
 }
 
 /// The busiest executor of a zone that comes back, over its ordinary load, at each of its steps.
-fn return_of(flaw: Option<Flaw>) -> Vec<f64> {
-    let mut w = calm(60, 3, 7, flaw);
+fn return_of(mutant: Option<Mutant>) -> Vec<f64> {
+    let mut w = calm(60, 3, 7, mutant);
     w.zone_is(1, Health::Gone);
     assert!(w.until(10 * SECOND, |w| w.share(1) == 0.0).is_some());
     w.run(2 * SECOND);
@@ -56,7 +68,7 @@
 
 #[test]
 fn a_zone_comes_back_with_an_eighth_of_its_load_and_no_executor_is_crowded() {
-    let (paced, at_once) = (return_of(None), return_of(Some(Flaw::ReturnAtOnce)));
+    let (paced, at_once) = (return_of(None), return_of(Some(Mutant::ReturnAtOnce)));
     println!(
         "busiest executor over its ordinary load, second by second: {paced:?}; all at once: {at_once:?}"
     );
@@ -66,8 +78,8 @@
 
 #[test]
 fn what_is_ill_everywhere_is_no_place_and_nothing_is_left() {
-    let least = |flaw, health| {
-        let mut w = calm(20, 3, 3, flaw);
+    let least = |mutant, health| {
+        let mut w = calm(20, 3, 3, mutant);
         (0..3).for_each(|z| w.zone_is(z, health));
         let mut least = 3.0f64;
         for _ in 0..100 {
@@ -84,7 +96,7 @@
     (0..3).for_each(|z| w.zone_is(z, Health::Slow));
     w.run(10 * SECOND);
     assert!((0..3).all(|z| w.share(z) == 1.0));
-    assert_eq!(least(Some(Flaw::NoPanicBound), Health::Gone), 0.0);
+    assert_eq!(least(Some(Mutant::NoPanicBound), Health::Gone), 0.0);
 }
 
 #[test]
@@ -134,8 +146,8 @@
 
 #[test]
 fn one_that_has_lost_its_own_network_blames_no_zone() {
-    let of = |flaw| {
-        let mut w = calm(20, 3, 6, flaw);
+    let of = |mutant| {
+        let mut w = calm(20, 3, 6, mutant);
         (0..3).for_each(|z| _ = w.cut.insert((7, z)));
         (0..20).for_each(|m| {
             w.apart.insert((7, m));
@@ -151,14 +163,14 @@
         (least, sum)
     };
     // It may take the first zone that it lost for lost, before it has lost the others; then it takes that back.
-    let (blames, trusts) = (of(None), of(Some(Flaw::TrustsOwnNetwork)));
+    let (blames, trusts) = (of(None), of(Some(Mutant::TrustsOwnNetwork)));
     assert!(blames.0 >= 1.0 && blames.1 == 3.0, "{blames:?}");
     assert!(trusts.1 < 3.0, "{trusts:?}");
 }
 
 /// Liars on a calm day, and on one where a zone is lost: what the fleet has of the good zones, and whether it left the lost one.
-fn lied_to(n: Member, liars: &[(Member, bool)], flaw: Option<Flaw>) -> (f64, bool) {
-    let mut w = calm(n, 3, 8, flaw);
+fn lied_to(n: Member, liars: &[(Member, bool)], mutant: Option<Mutant>) -> (f64, bool) {
+    let mut w = calm(n, 3, 8, mutant);
     w.liars = liars.iter().copied().collect();
     let mut least = 3.0f64;
     for _ in 0..60 {
@@ -183,22 +195,22 @@
         }
     }
     // Among three nobody's word is left out: the bound alone holds the liar.
-    let of_one = |flaw| {
-        let mut w = calm(3, 3, 8, flaw);
+    let of_one = |mutant| {
+        let mut w = calm(3, 3, 8, mutant);
         (w.liars, w.lie_of) = ([(2, true)].into(), Some(1));
         w.run(3 * SECOND);
         (0..3).map(|z| w.share(z)).sum::<f64>()
     };
-    let (bounded, unbounded) = (of_one(None), of_one(Some(Flaw::UnboundedWord)));
+    let (bounded, unbounded) = (of_one(None), of_one(Some(Mutant::UnboundedContribution)));
     assert!(bounded > 2.99 && unbounded < 2.5, "{bounded} {unbounded}");
-    let (followed, _) = lied_to(12, &[(11, true)], Some(Flaw::LoneStage));
+    let (followed, _) = lied_to(12, &[(11, true)], Some(Mutant::LoneStage));
     assert!(followed < 2.5, "one front end's stage moves all: {followed}");
 }
 
 #[test]
 fn a_third_or_a_half_of_its_executors_bad_is_not_the_zone() {
-    let shares = |bad: u32, flaw| {
-        let mut w = calm(20, 3, 9, flaw);
+    let shares = |bad: u32, mutant| {
+        let mut w = calm(20, 3, 9, mutant);
         (8..8 + bad).for_each(|e| _ = w.health.insert(e, Health::Gone));
         let mut least = 1.0f64;
         for _ in 0..200 {
@@ -208,7 +220,7 @@
         least
     };
     assert_eq!((shares(3, None), shares(4, None)), (1.0, 1.0));
-    let by_calls = shares(4, Some(Flaw::CountsCalls));
+    let by_calls = shares(4, Some(Mutant::CountsCalls));
     assert!(by_calls < 1.0, "{by_calls}");
 }
 
@@ -233,8 +245,8 @@
 }
 
 /// Good for 4 s and gone for 4 s, forty times: changes of stage of the whole fleet in the first and in the last 160 s.
-fn flapping(flaw: Option<Flaw>) -> (u16, u16) {
-    let mut w = calm(12, 3, 12, flaw);
+fn flapping(mutant: Option<Mutant>) -> (u16, u16) {
+    let mut w = calm(12, 3, 12, mutant);
     let mut moves = [0, 0];
     for half in &mut moves {
         let before = w.generations(1);
@@ -246,7 +258,7 @@
         }
         *half = w.generations(1) - before;
     }
-    if flaw.is_none() {
+    if mutant.is_none() {
         assert!(
             w.until(300 * SECOND, |w| w.share(1) == 1.0).is_some(),
             "it is never stuck away from a good zone"
@@ -257,15 +269,15 @@
 
 #[test]
 fn a_zone_that_flaps_is_tried_ever_more_seldom() {
-    let (backs_off, eager) = (flapping(None), flapping(Some(Flaw::NoBackOff)));
+    let (backs_off, eager) = (flapping(None), flapping(Some(Mutant::NoBackoff)));
     println!("moves in 160 s of flapping, and in the next: {backs_off:?}, without back-off {eager:?}");
     assert!(backs_off.1 <= 12 && eager.1 >= 25, "{backs_off:?} {eager:?}");
 }
 
 #[test]
 fn one_started_in_the_middle_of_the_return_goes_no_further_than_the_fleet() {
-    let most = |flaw| {
-        let mut w = calm(20, 3, 13, flaw);
+    let most = |mutant| {
+        let mut w = calm(20, 3, 13, mutant);
         w.zone_is(1, Health::Gone);
         assert!(w.until(10 * SECOND, |w| w.share(1) == 0.0).is_some());
         w.start(30);
@@ -279,13 +291,13 @@
         assert!(w.until(60 * SECOND, |w| w.share(1) == 1.0).is_some());
         own
     };
-    assert_eq!((most(None), most(Some(Flaw::NoGeneration))), (0.125, 1.0));
+    assert_eq!((most(None), most(Some(Mutant::NoGeneration))), (0.125, 1.0));
 }
 
 #[test]
 fn probes_are_a_number_of_the_fleet_and_not_of_each() {
-    let probes = |n: Member, flaw| {
-        let mut w = World::new(n, 3, 8, 5.0, 14, flaw);
+    let probes = |n: Member, mutant| {
+        let mut w = World::new(n, 3, 8, 5.0, 14, mutant);
         w.run(3 * SECOND);
         w.zone_is(1, Health::Gone);
         assert!(w.until(20 * SECOND, |w| w.share(1) == 0.0).is_some());
@@ -294,7 +306,7 @@
         w.run(4 * SECOND);
         w.probes as f64 / 4.0
     };
-    let (few, many, all) = (probes(6, None), probes(60, None), probes(60, Some(Flaw::AllProbe)));
+    let (few, many, all) = (probes(6, None), probes(60, None), probes(60, Some(Mutant::AllProbe)));
     println!(
         "probes a second of a zone that was left: 6 front ends {few}, 60 {many}, where each probes {all}"
     );
@@ -325,17 +337,17 @@
     assert!(w.until(60 * SECOND, |w| w.share(1) == 1.0).is_some());
 }
 
-fn say(w: &mut World, zone: usize, word: Option<Word>) {
+fn say(w: &mut World, zone: usize, word: Option<Directive>) {
     let mut words = vec![None; w.zones];
     words[zone] = word;
     let now = w.now;
-    w.nodes.values_mut().for_each(|n| n.words(now, &words));
+    w.nodes.values_mut().for_each(|n| n.set_directives(now, &words));
 }
 
 #[test]
 fn an_operators_word_goes_before_what_is_found_and_its_end_leads_back_by_steps() {
     let mut w = calm(12, 3, 17, None);
-    say(&mut w, 0, Some(Word::Leave));
+    say(&mut w, 0, Some(Directive::Leave));
     assert_eq!(w.share(0), 0.0);
     w.run(10 * SECOND);
     assert_eq!((w.share(0), w.share(1)), (0.0, 1.0), "it answers probes, and stays left");
@@ -343,14 +355,14 @@
     assert!(w.until(20 * SECOND, |w| w.share(0) == 0.125).is_some());
     assert!(w.until(20 * SECOND, |w| w.share(0) == 1.0).is_some());
     // Held, it is used though it is lost; freed, it is left; called back, it need not wait.
-    say(&mut w, 1, Some(Word::Hold));
+    say(&mut w, 1, Some(Directive::Hold));
     w.zone_is(1, Health::Gone);
     w.run(10 * SECOND);
     assert_eq!(w.share(1), 1.0);
     say(&mut w, 1, None);
     assert!(w.until(10 * SECOND, |w| w.share(1) == 0.0).is_some());
     w.zone_is(1, Health::Good);
-    say(&mut w, 1, Some(Word::Return));
+    say(&mut w, 1, Some(Directive::Return));
     assert!(w.share(1) > 0.0);
     assert!(w.until(20 * SECOND, |w| w.share(1) == 1.0).is_some());
 }
--- a/crates/badgerwind-zones/tests/model.rs
+++ b/crates/badgerwind-zones/tests/model.rs
@@ -1,12 +1,12 @@
 //! Every history of a small world, with the real state machines: three front ends that all vote, two zones of two executors,
 //! losses of words and changes of zones at any beat, and a liar or a front end that is cut off from a zone.
 
-use badgerwind_zones::{Message, Node, Sign, Stage, Terms, Time};
+use badgerwind_zones::{Message, Node, Observation, Stage, Terms, Time};
 use stateright::{Checker, Model, Property};
 use std::hash::{Hash, Hasher};
 
 const MEMBERS: u16 = 3;
-const ZONES: usize = 2;
+const MAX_ZONES: usize = 2;
 const EACH: u32 = 2;
 const BEAT: Time = 100;
 /// Quiet and good beats after all that may happen.
@@ -17,7 +17,7 @@
     now: Time,
     beat: u8,
     nodes: Vec<Node>,
-    good: [bool; ZONES],
+    good: [bool; MAX_ZONES],
     turns: u8,
     losses: u8,
 }
@@ -73,14 +73,14 @@
         let last = usize::from(MEMBERS) - 1;
         for m in 0..self.nodes.len() {
             let probes = self.nodes[m].probes();
-            for e in 0..EACH * ZONES as u32 {
+            for e in 0..EACH * MAX_ZONES as u32 {
                 let zone = (e / EACH) as usize;
                 if !self.nodes[m].open(e, zone) && !probes.contains(&e) {
                     continue;
                 }
                 let cut = matches!(trouble, Trouble::Cut) && m == last && zone == 1;
-                let sign = if self.good[zone] && !cut { Sign::Heard } else { Sign::Lost };
-                self.nodes[m].saw(self.now, e, sign, self.now);
+                let sign = if self.good[zone] && !cut { Observation::Heard } else { Observation::Lost };
+                self.nodes[m].record(self.now, e, sign, self.now);
             }
         }
         let mut said = Vec::new();
@@ -93,7 +93,7 @@
             if loses == Some(from) {
                 continue;
             }
-            if let (Trouble::Liar(ill), Message::Tell { zones, .. }, true) =
+            if let (Trouble::Liar(ill), Message::Report { zones, .. }, true) =
                 (trouble, &mut message, usize::from(from) == last)
             {
                 for z in zones {
@@ -101,14 +101,14 @@
                 }
             }
             let node = &mut self.nodes[usize::from(to)];
-            if let Some(answer) = node.heard(self.now, from, &message) {
+            if let Some(answer) = node.receive(self.now, from, &message) {
                 said.push((to, from, answer));
             }
         }
     }
 
     fn used(&self, m: usize) -> f64 {
-        (0..ZONES).map(|z| self.nodes[m].share(z)).sum()
+        (0..MAX_ZONES).map(|z| self.nodes[m].share(z)).sum()
     }
 }
 
@@ -124,12 +124,12 @@
 
     fn init_states(&self) -> Vec<World> {
         let node = |m| {
-            let mut node = Node::new(0, m, ZONES, terms(), 0.0);
-            node.evidence.listed((0..EACH * ZONES as u32).map(|e| (e, (e / EACH) as usize, 1.0)));
+            let mut node = Node::new(0, m, MAX_ZONES, terms(), 0.0);
+            node.evidence.listed((0..EACH * MAX_ZONES as u32).map(|e| (e, (e / EACH) as usize, 1.0)));
             node
         };
         let nodes = (0..MEMBERS).map(node).collect();
-        let mut world = World { now: 0, beat: 0, nodes, good: [true; ZONES], turns: 0, losses: 0 };
+        let mut world = World { now: 0, beat: 0, nodes, good: [true; MAX_ZONES], turns: 0, losses: 0 };
         // They have met.
         (0..3).for_each(|_| world.beat(Trouble::None, None));
         vec![world]
@@ -144,7 +144,7 @@
             out.extend((0..MEMBERS).map(Happens::Loses));
         }
         if w.turns < self.turns {
-            out.extend((0..ZONES).map(Happens::Turns));
+            out.extend((0..MAX_ZONES).map(Happens::Turns));
         }
     }
 
@@ -171,12 +171,12 @@
                     return true;
                 }
                 let mut after = w.clone();
-                after.good = [true; ZONES];
+                after.good = [true; MAX_ZONES];
                 (0..QUIET).for_each(|_| after.beat(Trouble::None, None));
-                (0..model.honest()).all(|m| after.used(m) == ZONES as f64)
+                (0..model.honest()).all(|m| after.used(m) == MAX_ZONES as f64)
             }),
             Property::sometimes("a lost zone is left", |model: &Zones, w: &World| {
-                let left = |m: usize| (0..ZONES).any(|z| w.nodes[m].share(z) == 0.0);
+                let left = |m: usize| (0..MAX_ZONES).any(|z| w.nodes[m].share(z) == 0.0);
                 (0..model.honest()).all(left)
             }),
         ];
@@ -184,7 +184,7 @@
         if !matches!(self.trouble, Trouble::Liar(false)) {
             all.push(Property::sometimes("and comes back", |_: &Zones, w: &World| {
                 let stage = |n: &Node, z| n.standing(z).map(|s| s.0.stage);
-                let back = |n: &Node| (0..ZONES).any(|z| matches!(stage(n, z), Some(Stage::Back(_))));
+                let back = |n: &Node| (0..MAX_ZONES).any(|z| matches!(stage(n, z), Some(Stage::Back(_))));
                 w.nodes.iter().any(back)
             }));
         }
--- a/crates/badgerwind-zones/tests/schedules.rs
+++ b/crates/badgerwind-zones/tests/schedules.rs
@@ -2,17 +2,17 @@
 
 mod world;
 
-use badgerwind_zones::{Flaw, Member, Stage};
+use badgerwind_zones::{Member, Mutant, Stage};
 use rand::Rng;
 use world::{Health, World, MS, SECOND};
 
 /// What was seen to be broken on a day, if anything.
-fn play(seed: u64, flaw: Option<Flaw>) -> Result<(), String> {
-    let mut w = World::new(1, 1, 1, 0.0, seed, flaw);
+fn play(seed: u64, mutant: Option<Mutant>) -> Result<(), String> {
+    let mut w = World::new(1, 1, 1, 0.0, seed, mutant);
     let n: Member = [1, 2, 3, 5, 8, 12, 20][w.rng.random_range(0..7)];
     let (zones, each) = (w.rng.random_range(2..=4), w.rng.random_range(2..=8));
     let rate = [2.0, 10.0, 30.0][w.rng.random_range(0..3)];
-    let mut w = World::new(n, zones, each, rate, seed, flaw);
+    let mut w = World::new(n, zones, each, rate, seed, mutant);
     w.loss = [0.0, 0.1, 0.3][w.rng.random_range(0..3)];
     if n >= 4 && w.rng.random_bool(0.3) {
         let ill = w.rng.random_bool(0.5);
@@ -122,12 +122,12 @@
 }
 
 /// Defects that random days alone find, each at a fixed seed.
-const FOUND: [(Flaw, u64); 1] = [(Flaw::NoPanicBound, 0)];
+const FOUND: [(Mutant, u64); 1] = [(Mutant::NoPanicBound, 0)];
 
 #[test]
 fn defects_are_found_at_fixed_seeds() {
-    for (flaw, from) in FOUND {
-        let found = (from..from + 60).find(|seed| play(*seed, Some(flaw)).is_err());
-        assert!(found.is_some(), "{flaw:?}");
+    for (mutant, from) in FOUND {
+        let found = (from..from + 60).find(|seed| play(*seed, Some(mutant)).is_err());
+        assert!(found.is_some(), "{mutant:?}");
     }
 }
--- a/crates/badgerwind-zones/tests/world/mod.rs
+++ b/crates/badgerwind-zones/tests/world/mod.rs
@@ -2,7 +2,7 @@
 //! front end has open, each as likely; what it sees of them is its evidence.
 #![allow(dead_code)] // each test file uses its part
 
-use badgerwind_zones::{Flaw, Member, Message, Node, Sign, Stage, Terms, Time};
+use badgerwind_zones::{Member, Message, Mutant, Node, Observation, Stage, Terms, Time};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::cmp::Reverse;
@@ -61,14 +61,14 @@
     recent: Vec<(Time, u32)>,
     on_the_way: BinaryHeap<OnTheWay>,
     count: u64,
-    pub flaw: Option<Flaw>,
+    pub mutant: Option<Mutant>,
     pub terms: Terms,
     /// Executors that a front end has lost, until when it asks them nothing, and for how long the next time: as the module does.
     avoids: BTreeMap<(Member, u32), (Time, Time)>,
 }
 
 impl World {
-    pub fn new(n: Member, zones: usize, each: u32, rate: f64, seed: u64, flaw: Option<Flaw>) -> World {
+    pub fn new(n: Member, zones: usize, each: u32, rate: f64, seed: u64, mutant: Option<Mutant>) -> World {
         let voters = (0..n.min(3)).collect();
         let mut w = World {
             now: SECOND,
@@ -90,7 +90,7 @@
             recent: Vec::new(),
             on_the_way: BinaryHeap::new(),
             count: 0,
-            flaw,
+            mutant,
             terms: Terms::paced(voters, BEAT, 4 * SECOND),
             avoids: BTreeMap::new(),
         };
@@ -100,7 +100,7 @@
 
     pub fn start(&mut self, m: Member) {
         let part = self.rng.random();
-        let mut node = Node::new(self.now, m, self.zones, self.terms.clone(), part).with(self.flaw);
+        let mut node = Node::new(self.now, m, self.zones, self.terms.clone(), part).with(self.mutant);
         node.evidence.listed(self.executors().map(|(e, z)| (e, z, 1.0)));
         self.nodes.insert(m, node);
     }
@@ -124,7 +124,7 @@
     fn say(&mut self, from: Member, out: Vec<(Member, Message)>) {
         for (to, message) in out {
             let mut message = message;
-            if let (Some(ill), Message::Tell { zones, .. }) = (self.liars.get(&from), &mut message) {
+            if let (Some(ill), Message::Report { zones, .. }) = (self.liars.get(&from), &mut message) {
                 for (_, z) in
                     zones.iter_mut().enumerate().filter(|(n, _)| self.lie_of.is_none_or(|of| of == *n))
                 {
@@ -143,7 +143,7 @@
                 }
             }
             let bytes = message.bytes();
-            assert!(bytes.len() <= badgerwind_zones::MOST);
+            assert!(bytes.len() <= badgerwind_zones::MAX_BYTES);
             assert_eq!(Message::read(&bytes).as_ref(), Some(&message));
             self.said += 1;
             if self.apart.contains(&(from, to)) || self.rng.random_bool(self.loss) {
@@ -182,7 +182,7 @@
                 Event::Said(from, to, bytes) => {
                     let message = Message::read(&bytes).unwrap();
                     let Some(node) = self.nodes.get_mut(&to) else { continue };
-                    if let Some(answer) = node.heard(self.now, from, &message) {
+                    if let Some(answer) = node.receive(self.now, from, &message) {
                         self.say(to, vec![(from, answer)]);
                     }
                 }
@@ -192,11 +192,11 @@
                         2 => *avoids = (self.now + avoids.1, (2 * avoids.1).min(16 * SECOND)),
                         _ => *avoids = (0, SECOND),
                     }
-                    let sign = [Sign::Heard, Sign::Late, Sign::Lost][usize::from(sign)];
+                    let sign = [Observation::Heard, Observation::Late, Observation::Lost][usize::from(sign)];
                     if let Some(node) = self.nodes.get_mut(&m) {
                         match sign {
-                            Sign::Lost => node.unanswered(self.now, e, sent),
-                            sign => node.saw(self.now, e, sign, sent),
+                            Observation::Lost => node.unanswered(self.now, e, sent),
+                            sign => node.record(self.now, e, sign, sent),
                         }
                     }
                 }
