Evidence of zones is kept by zone and for as long as it counts; digests of large fleets last a beat

Cause (rows zones-evidence and zones-voter): a front end went over all executors that it had ever seen for each zone, twice a beat, and over the list for each zone's counts, sizes and probes; a voter went over all reports at each report. Change: evidence by zone with what was seen within the spans that count, last answer, count and size beside it; from 64 reports on a voter makes its digest, and lets go of outdated reports, once a beat. Smaller fleets get the digests of before.

--- a/crates/badgerwind-zones/src/evidence.rs
+++ b/crates/badgerwind-zones/src/evidence.rs
@@ -48,12 +48,33 @@
     }
 }
 
+impl ExecutorRecord {
+    /// When anything was last seen of it.
+    fn last(&self) -> Option<Time> {
+        self.heard.max(self.late).max(self.lost)
+    }
+}
+
+/// A zone as listed, and what was seen of it.
+#[derive(Clone, Debug, Default)]
+struct ZoneEvidence {
+    /// Its executors, in order of their numbers.
+    executors: Vec<Executor>,
+    /// Their sizes summed up.
+    size: f64,
+    /// What was seen of them of late.
+    seen: BTreeMap<Executor, ExecutorRecord>,
+    /// When any of them last answered.
+    answered: Time,
+}
+
 /// A front end's own evidence.
 #[derive(Clone, Debug, Default)]
 pub struct Evidence {
     /// Zone and size by executor, as listed.
     listed: BTreeMap<Executor, (usize, f64)>,
-    seen: BTreeMap<Executor, ExecutorRecord>,
+    /// By zone, so that a look at one costs what was seen there of late, and not what is listed.
+    zones: BTreeMap<usize, ZoneEvidence>,
     mutant: Option<Mutant>,
 }
 
@@ -73,25 +94,48 @@
     /// The executors that are there now, with zone and size. What was seen of others is forgotten, as of those that moved.
     pub fn listed(&mut self, all: impl IntoIterator<Item = (Executor, usize, f64)>) {
         let next: BTreeMap<Executor, (usize, f64)> = all.into_iter().map(|(e, z, s)| (e, (z, s))).collect();
-        let old = std::mem::replace(&mut self.listed, next);
-        let stays = |e: &Executor| {
-            let (a, b) = (self.listed.get(e), old.get(e));
-            a.is_some() && a.map(|a| a.0) == b.map(|b| b.0)
-        };
-        self.seen.retain(|e, _| stays(e));
+        self.listed = next;
+        let mut old = std::mem::take(&mut self.zones);
+        for (executor, (zone, size)) in &self.listed {
+            let evidence = self.zones.entry(*zone).or_default();
+            evidence.executors.push(*executor);
+            evidence.size += size;
+        }
+        for (zone, evidence) in &mut self.zones {
+            let Some(before) = old.remove(zone) else { continue };
+            let listed = &self.listed;
+            evidence.seen = before.seen;
+            evidence.seen.retain(|e, _| listed.get(e).is_some_and(|l| l.0 == *zone));
+            evidence.answered = before.answered;
+        }
     }
 
-    /// Zone by executor, and size.
-    pub fn executors(&self) -> impl Iterator<Item = (Executor, usize, f64)> + '_ {
-        self.listed.iter().map(|(e, (z, s))| (*e, *z, *s))
+    /// Lets go of what no sketch over this span counts any more.
+    pub fn forget(&mut self, now: Time, span: Span) {
+        let from = now.saturating_sub(span * LOST_SPANS);
+        for zone in self.zones.values_mut() {
+            zone.seen.retain(|_, record| record.last() >= Some(from));
+        }
+    }
+
+    /// Executors of which something is remembered.
+    pub fn remembered(&self) -> usize {
+        self.zones.values().map(|zone| zone.seen.len()).sum()
+    }
+
+    /// The executors of a zone, in order of their numbers.
+    pub fn executors(&self, zone: usize) -> &[Executor] {
+        self.zones.get(&zone).map_or(&[], |zone| &zone.executors)
     }
 
     /// What went out to an executor then has ended.
     pub fn record(&mut self, now: Time, executor: Executor, observation: Observation, sent: Time) {
-        if !self.listed.contains_key(&executor) {
-            return;
+        let zone = self.listed.get(&executor).and_then(|(zone, _)| self.zones.get_mut(zone));
+        let Some(zone) = zone else { return };
+        if observation != Observation::Lost {
+            zone.answered = zone.answered.max(now);
         }
-        let seen = self.seen.entry(executor).or_default();
+        let seen = zone.seen.entry(executor).or_default();
         match observation {
             Observation::Heard => (seen.heard, seen.losses) = (Some(now), 0),
             Observation::Late => (seen.late, seen.losses) = (Some(now), 0),
@@ -105,7 +149,9 @@
     /// An attempt that went out then was given up unanswered. Where the executor has answered something since, it works, and is
     /// late; else it is silent.
     pub fn unanswered(&mut self, now: Time, executor: Executor, sent: Time) {
-        let answered = self.seen.get(&executor).is_some_and(|s| s.heard.max(s.late) >= Some(sent));
+        let zone = self.listed.get(&executor).and_then(|(zone, _)| self.zones.get(zone));
+        let seen = zone.and_then(|zone| zone.seen.get(&executor));
+        let answered = seen.is_some_and(|s| s.heard.max(s.late) >= Some(sent));
         self.record(now, executor, if answered { Observation::Late } else { Observation::Lost }, sent);
     }
 
@@ -114,8 +160,8 @@
     /// others, and what was heard before a zone died does not hold up the news of it. What went out before a time counts
     /// no more as lost.
     pub fn sketch(&self, now: Time, zone: usize, span: Span, not_before: Time) -> Sketch {
-        let own = || self.seen.iter().filter(|(e, _)| self.listed.get(e).is_some_and(|l| l.0 == zone));
-        let answered = own().filter_map(|(_, s)| s.heard.max(s.late)).max().unwrap_or(0);
+        let Some(zone) = self.zones.get(&zone) else { return Sketch::default() };
+        let answered = zone.answered;
         // A loss counts for longer than an answer: whoever lost an executor hardly asks it any more, and that is no good news.
         let from = now.saturating_sub(span * LOST_SPANS);
         let lost = |s: &&ExecutorRecord| {
@@ -128,13 +174,13 @@
                 1
             }
         };
-        let lost: u16 = own().map(|(_, s)| s).filter(lost).map(times).sum();
+        let lost: u16 = zone.seen.values().filter(lost).map(times).sum();
         if lost > 0 {
             return Sketch { heard: 0, late: 0, lost };
         }
         let from = now.saturating_sub(span).max(not_before);
         let mut out = Sketch::default();
-        for (_, s) in own() {
+        for s in zone.seen.values() {
             let (heard, late) = (s.heard.filter(|t| *t >= from), s.late.filter(|t| *t >= from));
             if late.is_some() && late > heard {
                 out.late += 1;
@@ -147,23 +193,11 @@
 
     /// How many executors each of so many zones has.
     pub fn counts(&self, zones: usize) -> Vec<usize> {
-        let mut counts = vec![0; zones];
-        for (zone, _) in self.listed.values() {
-            if let Some(n) = counts.get_mut(*zone) {
-                *n += 1;
-            }
-        }
-        counts
+        (0..zones).map(|zone| self.executors(zone).len()).collect()
     }
 
     /// The size of each of so many zones.
     pub fn sizes(&self, zones: usize) -> Vec<f64> {
-        let mut sizes = vec![0.0; zones];
-        for (zone, size) in self.listed.values() {
-            if let Some(sum) = sizes.get_mut(*zone) {
-                *sum += size;
-            }
-        }
-        sizes
+        (0..zones).map(|zone| self.zones.get(&zone).map_or(0.0, |zone| zone.size)).collect()
     }
 }
--- a/crates/badgerwind-zones/src/join.rs
+++ b/crates/badgerwind-zones/src/join.rs
@@ -3,7 +3,7 @@
 
 use crate::message::{ZoneDigest, ZoneReport};
 use crate::stages::Stage;
-use crate::{Member, Mutant, Terms, Time};
+use crate::{Member, Mutant, Span, Terms, Time};
 use std::collections::BTreeMap;
 
 /// Share of executors that are lost in a zone that is only unwell.
@@ -16,6 +16,8 @@
 const ENOUGH: usize = 4;
 /// From so many on the loudest is left out on either side, and one more for each so many further.
 const TRIM: usize = 4;
+/// Reports from which on a fleet is large.
+const LARGE: usize = 64;
 /// One in so many may lie.
 const LIARS: usize = 12;
 
@@ -53,13 +55,17 @@
 pub struct Aggregator {
     zones: usize,
     reports: BTreeMap<Member, (Time, u32, Vec<ZoneReport>)>,
+    /// The last digest, and when it was made.
+    digest: Option<(Time, u16, Vec<ZoneDigest>)>,
+    /// When outdated reports were last let go.
+    pruned_at: Time,
     mutant: Option<Mutant>,
 }
 
 impl Aggregator {
     /// An empty table.
     pub fn new(zones: usize) -> Aggregator {
-        Aggregator { zones, reports: BTreeMap::new(), mutant: None }
+        Aggregator { zones, reports: BTreeMap::new(), digest: None, pruned_at: 0, mutant: None }
     }
 
     /// With a defect; for tests that show that it is found.
@@ -78,8 +84,8 @@
         zones: &[ZoneReport],
         terms: &Terms,
     ) -> bool {
-        self.reports.retain(|_, t| t.0 + terms.span > now);
-        let old = self.reports.get(&from).is_some_and(|t| t.1 >= serial);
+        self.prune(now, terms);
+        let old = self.reports.get(&from).is_some_and(|t| t.0 + terms.span > now && t.1 >= serial);
         if old || zones.len() != self.zones {
             return false;
         }
@@ -87,6 +93,24 @@
         true
     }
 
+    /// Lets go of outdated reports, in large fleets not more often than once a beat.
+    fn prune(&mut self, now: Time, terms: &Terms) {
+        if now >= self.pruned_at + self.pause(terms) {
+            self.reports.retain(|_, t| t.0 + terms.span > now);
+            self.pruned_at = now;
+        }
+    }
+
+    /// How long a digest serves: not at all in small fleets, where each report is answered by what it changed; a beat in large
+    /// ones, where one report changes little and each look at all of them is long.
+    fn pause(&self, terms: &Terms) -> Span {
+        if self.reports.len() < LARGE {
+            0
+        } else {
+            terms.beat
+        }
+    }
+
     /// Contributions trimmed on either side.
     fn trim(&self, n: usize) -> usize {
         match n {
@@ -137,10 +161,11 @@
     }
 
     /// The newest stage that more than one front end has, so that one alone moves nobody.
-    fn newest(&self, zone: usize) -> (u16, Stage, u8) {
+    fn newest(&self, now: Time, zone: usize, terms: &Terms) -> (u16, Stage, u8) {
         let mut all: Vec<(u16, Stage, u8)> = self
             .reports
             .values()
+            .filter(|t| t.0 + terms.span > now)
             .filter_map(|t| t.2.get(zone))
             .map(|z| (z.generation, z.stage, z.failed))
             .collect();
@@ -154,13 +179,23 @@
         }
     }
 
-    /// The digest that answers a report.
-    pub fn digest(&self, now: Time, listed: &[usize], terms: &Terms) -> (u16, Vec<ZoneDigest>) {
+    /// The digest that answers a report: that of before while it serves.
+    pub fn digest(&mut self, now: Time, listed: &[usize], terms: &Terms) -> (u16, Vec<ZoneDigest>) {
+        let pause = self.pause(terms);
+        if let Some((_, members, zones)) = self.digest.as_ref().filter(|d| now < d.0 + pause) {
+            return (*members, zones.clone());
+        }
+        let (members, zones) = self.digest_now(now, listed, terms);
+        self.digest = Some((now, members, zones.clone()));
+        (members, zones)
+    }
+
+    fn digest_now(&self, now: Time, listed: &[usize], terms: &Terms) -> (u16, Vec<ZoneDigest>) {
         let mut members = 0;
         let one = |zone: usize| {
             let j = self.aggregate(now, zone, listed.get(zone).copied().unwrap_or(1), terms);
             members = members.max(j.members);
-            let (generation, stage, failed) = self.newest(zone);
+            let (generation, stage, failed) = self.newest(now, zone, terms);
             let part = |x: f64| (x * PART).clamp(f64::from(i16::MIN), f64::from(i16::MAX)) as i16;
             let hearing = j.hearing.min(usize::from(u16::MAX)) as u16;
             ZoneDigest { lost: part(j.lost), late: part(j.late), hearing, generation, stage, failed }
--- a/crates/badgerwind-zones/src/node.rs
+++ b/crates/badgerwind-zones/src/node.rs
@@ -101,6 +101,7 @@
         // One that was stopped does not make up for the beats that it missed.
         self.beat_at = (self.beat_at + self.terms.beat).max(now);
         self.beats += 1;
+        self.evidence.forget(now, self.terms.span);
         self.judge(now);
         self.serial = self.serial.wrapping_add(1);
         let zones: Vec<ZoneReport> = (0..self.zones).map(|z| self.report(now, z)).collect();
@@ -301,8 +302,7 @@
                 (false, true) => 1,
                 _ => 0,
             };
-            let all: Vec<Executor> =
-                self.evidence.executors().filter(|(_, z, _)| *z == zone).map(|(e, _, _)| e).collect();
+            let all = self.evidence.executors(zone);
             let from = (self.beats as usize).wrapping_mul(most.max(1)) + usize::from(self.me) * 7;
             out.extend((0..most.min(all.len())).map(|n| all[(from + n) % all.len()]));
         }
