Up to 24 zones can be left; the voter's row plays a whole beat, both rows 21 zones

Need: the planned fleet has 21 zones and settings with more than 16 were refused; 24 fit into the 256 bytes of a message (249 of a digest). The row of a voter measured 64 reports at one instant, which does not show a digest made once a beat: it now plays one report of each front end over a beat. Measured: tests of zones, settings and scale pass.

--- a/crates/badgerwind-scale/src/rows/zones.rs
+++ b/crates/badgerwind-scale/src/rows/zones.rs
@@ -8,7 +8,6 @@
 use crate::rows::network::{Conditions, Event, Micros, Network, MILLISECOND, SECOND};
 use badgerwind_zones::{
     Aggregator, Evidence, Executor, Member, Message, Node, Observation, Stage, Terms, ZoneDigest, ZoneReport,
-    MAX_ZONES,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -20,14 +19,14 @@
 const TICK: Micros = BEAT / 4;
 /// How long a cold runner takes to be warm; sets the steps of a return.
 const WARM: Micros = 4 * SECOND;
+/// Zones of the plan.
+const ZONES: usize = 21;
 /// Voters, as the operator's page advises.
 const VOTERS: usize = 3;
 /// Calls a second of a front end in the plan.
 const CALLS: f64 = 127.0;
 /// Runners listed by the planned fleet's front ends.
 const RUNNERS: u64 = 16_000;
-/// Messages after whose handling a voter's processor time is taken.
-const MEASURED_REPORTS: usize = 64;
 /// How long a front end is measured.
 const STEADY: Micros = 10 * SECOND;
 /// How long an answer takes, and how long an attempt without one.
@@ -36,7 +35,7 @@
 /// Times after which a lost runner is asked again: doubled from the first to the last.
 const AVOID: (Micros, Micros) = (SECOND, 16 * SECOND);
 /// Zones and runners of the fleet in which a zone is lost, and calls a second of a front end there.
-const LOST_FLEET: (usize, u32, f64) = (MAX_ZONES, 2, 10.0);
+const LOST_FLEET: (usize, u32, f64) = (ZONES, 2, 10.0);
 /// The zone that is lost.
 const LOST_ZONE: usize = 1;
 /// Simulated time after which a fleet that has not moved is given up.
@@ -63,19 +62,19 @@
 
 /// Runners dealt out to zones in turn, all of one size.
 fn runners(count: usize) -> impl Iterator<Item = (Executor, usize, f64)> {
-    (0..count).map(|r| (r as Executor, r % MAX_ZONES, 1.0))
+    (0..count).map(|r| (r as Executor, r % ZONES, 1.0))
 }
 
 /// A report of a front end that hears all zones.
 fn calm_report(serial: u32, runners_a_zone: u16) -> Message {
     let zone = ZoneReport { heard: runners_a_zone, ..ZoneReport::default() };
-    Message::Report { serial, zones: vec![zone; MAX_ZONES] }
+    Message::Report { serial, zones: vec![zone; ZONES] }
 }
 
 /// A digest by which all zones are well.
 fn calm_digest(serial: u32, members: u16) -> Message {
     let zone = ZoneDigest { lost: -600, late: -600, hearing: members, ..ZoneDigest::default() };
-    Message::Digest { serial, members, zones: vec![zone; MAX_ZONES] }
+    Message::Digest { serial, members, zones: vec![zone; ZONES] }
 }
 
 /// What a voter's table costs by the front ends that report to it.
@@ -95,10 +94,10 @@
     pub heap: u64,
 }
 
-/// A voter to which so many front ends report: a table filled by all, then some reports more, measured.
+/// A voter to which so many front ends report: a table filled by all, then a report of each, spread over a beat, measured.
 pub fn voter(front_ends: usize) -> VoterCost {
     let terms = terms(front_ends);
-    let mut aggregator = Aggregator::new(MAX_ZONES);
+    let mut aggregator = Aggregator::new(ZONES);
     let mut evidence = Evidence::new();
     evidence.listed(runners(RUNNERS as usize));
     let now = SECOND;
@@ -106,13 +105,14 @@
         let Message::Report { serial, zones } = calm_report(1, 40) else { continue };
         aggregator.receive(now, member as Member, serial, &zones, &terms);
     }
-    let measured = front_ends.min(MEASURED_REPORTS);
+    let measured = front_ends;
     let reports: Vec<Vec<u8>> = (0..measured).map(|_| calm_report(2, 40).bytes()).collect();
     let meter = ProcessorMeter::start();
     let mut bytes = 0;
     let mut messages = 0;
     for (member, report) in reports.iter().enumerate() {
-        let answer = answer(&mut aggregator, &evidence, (now, member as Member), report, &terms);
+        let at = now + BEAT * (1 + member as Micros) / measured as Micros;
+        let answer = answer(&mut aggregator, &evidence, (at, member as Member), report, &terms);
         bytes += report.len() as u64 + answer.as_ref().map_or(0, |a| a.len() as u64);
         messages += 1 + u64::from(answer.is_some());
     }
@@ -137,7 +137,7 @@
     if !aggregator.receive(now, from, serial, &zones, terms) {
         return None;
     }
-    let (members, zones) = aggregator.digest(now, &evidence.counts(MAX_ZONES), terms);
+    let (members, zones) = aggregator.digest(now, &evidence.counts(ZONES), terms);
     Some(Message::Digest { serial, members, zones }.bytes())
 }
 
@@ -149,8 +149,8 @@
         Role::Voter
     }
     fn about(&self) -> &'static str {
-        "a front end that is one of three voters of zones: cost of a report with all front ends in its table, times the \
-         reports of a second (ten of each front end); 16 zones, the most that a message carries"
+        "a front end that is one of three voters of zones: cost of a report, of a beat in which each front end reports \
+         once, times the reports of a second (ten of each front end); 21 zones"
     }
     fn variable(&self) -> &'static str {
         "front ends"
@@ -191,7 +191,7 @@
 pub fn reporter(runner_count: usize, seed: u64) -> Vec<Measurement> {
     let mut rng = StdRng::seed_from_u64(seed);
     let me = VOTERS as Member;
-    let mut node = Node::new(0, me, MAX_ZONES, terms(VOTERS + 1), 0.0);
+    let mut node = Node::new(0, me, ZONES, terms(VOTERS + 1), 0.0);
     node.evidence.listed(runners(runner_count));
     // All runners have answered at some time: the table of what was seen is full.
     (0..runner_count).for_each(|r| node.record(0, r as Executor, Observation::Heard, 0));
@@ -251,7 +251,7 @@
         Role::FrontEndControl
     }
     fn about(&self) -> &'static str {
-        "a front end that is no voter, 127 calls a second, all runners seen once, three scripted voters; 16 zones, the \
+        "a front end that is no voter, 127 calls a second, all runners seen once, three scripted voters; 21 zones, the \
          most that a message carries; its traffic does not depend on the front ends"
     }
     fn variable(&self) -> &'static str {
@@ -396,7 +396,7 @@
     }
 
     fn is_lost(&self, runner: Executor) -> bool {
-        self.lost_zone == Some(runner as usize % MAX_ZONES)
+        self.lost_zone == Some(runner as usize % ZONES)
     }
 
     fn ask(&mut self, member: usize, runner: Executor) {
--- a/crates/badgerwind-zones/src/message.rs
+++ b/crates/badgerwind-zones/src/message.rs
@@ -9,7 +9,7 @@
 /// Bytes of a message at the most.
 pub const MAX_BYTES: usize = 256;
 /// Zones at the most.
-pub const MAX_ZONES: usize = 16;
+pub const MAX_ZONES: usize = 24;
 const FORMAT: u8 = 0xb3;
 
 /// One front end's report of a zone.
