--- a/crates/badgerwind-scale/src/rows/mod.rs
+++ b/crates/badgerwind-scale/src/rows/mod.rs
@@ -6,8 +6,11 @@
 pub mod hard_cases;
 pub mod list_frames;
 pub mod lists;
+pub mod members;
+pub mod network;
 pub mod router;
 pub mod workers;
+pub mod zones;
 
 use crate::error::ScaleError;
 use crate::row::Row;
@@ -19,6 +22,8 @@
     all.extend(lists::rows());
     all.extend(hard_cases::rows());
     all.extend(cold_starts::rows());
+    all.extend(members::rows());
+    all.extend(zones::rows());
     all
 }
 
