Unchanged entries of a whole list cost no way to their cell; resting functions let spare room go

Change: the weight is looked up first; a function that rests gives the room of its held requests and orders back. No decision changes.

--- a/crates/badgerwind-cells/src/trie.rs
+++ b/crates/badgerwind-cells/src/trie.rs
@@ -104,13 +104,30 @@
         self.cells
     }
 
+    /// The weight of a member; `None` for one that is not listed.
+    pub fn weight(&self, id: u32) -> Option<u64> {
+        let (mut bits, mut node) = (position(id), ROOT);
+        loop {
+            match &self.nodes[node].kind {
+                Kind::Fork { children } => node = children[(bits >> 63) as usize],
+                Kind::Leaf { members, .. } => {
+                    let place = members.binary_search_by_key(&id, |m| m.id).ok()?;
+                    return Some(members[place].weight);
+                }
+            }
+            bits <<= 1;
+        }
+    }
+
     /// Takes a member in, or gives it another weight.
     pub fn set(&mut self, id: u32, weight: u64) {
+        if self.weight(id) == Some(weight) {
+            return;
+        }
         let (path, leaf) = self.way_to(id);
-        let changed = self.changes + 1;
+        let (changed, depth) = (self.changes + 1, path.len() as u32);
         let Kind::Leaf { members, changed: stamp } = &mut self.nodes[leaf].kind else { return };
         let (added, before) = match members.binary_search_by_key(&id, |m| m.id) {
-            Ok(place) if members[place].weight == weight => return,
             Ok(place) => (0, std::mem::replace(&mut members[place].weight, weight)),
             Err(place) => {
                 members.insert(place, Member { id, weight });
@@ -123,7 +140,7 @@
             self.nodes[node].count += added;
             self.nodes[node].weight = self.nodes[node].weight - before + weight;
         }
-        self.split(leaf, self.depth_of(id, leaf));
+        self.split(leaf, depth);
     }
 
     /// Takes a member out.
@@ -193,12 +210,6 @@
         (forks, node)
     }
 
-    fn depth_of(&self, id: u32, leaf: usize) -> u32 {
-        let (forks, found) = self.way_to(id);
-        debug_assert_eq!(found, leaf, "a member is in the leaf that its place leads to");
-        forks.len() as u32
-    }
-
     /// Splits a leaf until no part of it holds too many. Places differ, so that this ends.
     fn split(&mut self, leaf: usize, depth: u32) {
         if self.nodes[leaf].count <= self.most_members || depth >= u64::BITS {
--- a/crates/badgerwind/src/memory.rs
+++ b/crates/badgerwind/src/memory.rs
@@ -249,7 +249,8 @@
         if !quiet || alone || fun.copies.values().any(|c| c.out > 0 || !c.orders.is_empty()) {
             return self.plan_next(f);
         }
-        (fun.bins, fun.homes, fun.cells) = (VecDeque::new(), Vec::new(), 0);
+        (fun.bins, fun.homes, fun.cells, fun.held) = (VecDeque::new(), Vec::new(), 0, Vec::new());
+        fun.copies.values_mut().for_each(|c| c.orders = Vec::new());
     }
     /// The workers that a function may use, the first in its order first.
     pub(crate) fn homes(&self, f: usize) -> impl Iterator<Item = &Worker> {
