--- a/crates/badgerwind-scale/src/rows/members.rs
+++ b/crates/badgerwind-scale/src/rows/members.rs
@@ -479,7 +479,8 @@
         "front ends"
     }
     fn sizes(&self) -> &'static [u64] {
-        &[10, 30, 100, 300, 1_000]
+        // With fewer than 14, messages are not full.
+        &[30, 100, 300, 1_000]
     }
     fn planned(&self) -> u64 {
         FRONT_ENDS
