Register: the simulated disk of the test world becomes a public type

Scale tests play voters that are killed and start again, as the schedules of tests/world do; both need a disk that holds what was written, whole or not at all.

--- a/crates/badgerwind-register/src/lib.rs
+++ b/crates/badgerwind-register/src/lib.rs
@@ -10,6 +10,7 @@
 mod kept;
 mod leases;
 mod ledger;
+mod memory;
 mod message;
 mod node;
 mod record;
@@ -20,6 +21,7 @@
 
 pub use kept::{BadKept, Kept, Write};
 pub use ledger::{Event, Ledger, Part, Standing};
+pub use memory::MemoryDisk;
 pub use message::Message;
 pub use node::{Input, Node, Output, Setup};
 pub use record::{Record, VERSION};
--- a/crates/badgerwind-register/tests/world/mod.rs
+++ b/crates/badgerwind-register/tests/world/mod.rs
@@ -81,44 +81,9 @@
     pub flaw: Option<Flaw>,
 }
 
-#[derive(Default, Clone)]
-struct Disk {
-    snapshot: SnapshotOnDisk,
-    hard: Option<Write>,
-    entries: BTreeMap<u64, Write>,
-}
-
-type SnapshotOnDisk = Option<Write>;
-
-impl Disk {
-    fn take(&mut self, w: &Write) {
-        if w.snapshot.is_some() {
-            self.snapshot = Some(Write { snapshot: w.snapshot.clone(), ..Write::default() });
-        }
-        for e in &w.entries {
-            self.entries.split_off(&Write::index(e));
-            self.entries.insert(Write::index(e), Write { entries: vec![e.clone()], ..Write::default() });
-        }
-        if w.hard.is_some() {
-            self.hard = Some(Write { hard: w.hard, ..Write::default() });
-        }
-        if let Some(cut) = w.cut {
-            self.entries = self.entries.split_off(&(cut + 1));
-        }
-    }
-
-    fn read(&self, terms: &Terms) -> Kept {
-        let Some(hard) = &self.hard else { return Node::<Tally>::begin(terms) };
-        let entries = self.entries.values().flat_map(|w| w.entries.clone()).collect();
-        let snapshot = self.snapshot.clone().and_then(|w| w.snapshot);
-        let snapshot = snapshot.unwrap_or_else(|| Node::<Tally>::begin(terms).first());
-        Kept::read(snapshot, hard.hard.unwrap(), entries).unwrap()
-    }
-}
-
 struct Host {
     node: Option<Node<Tally>>,
-    disk: Disk,
+    disk: MemoryDisk,
     writing: Option<Write>,
     stopped: bool,
     missed: Vec<Event>,
@@ -178,7 +143,7 @@
         let hosts = (0..plan.members)
             .map(|_| Host {
                 node: None,
-                disk: Disk::default(),
+                disk: MemoryDisk::default(),
                 writing: None,
                 stopped: false,
                 missed: Vec::new(),
@@ -233,7 +198,8 @@
         let setup = Setup { me, zone: (h % 3) as u8, seed: self.rng.random(), terms: terms.clone() };
         let forgets = self.plan.flaw == Some(Flaw::VoterForgets);
         let node = if terms.voters.contains(&me) {
-            let kept = if forgets { Node::<Tally>::begin(&terms) } else { self.hosts[h].disk.read(&terms) };
+            let kept =
+                if forgets { Node::<Tally>::begin(&terms) } else { self.hosts[h].disk.read(&terms).unwrap() };
             Node::voter(now, setup, kept, Tally::default()).unwrap()
         } else {
             Node::follower(setup, Tally::default()).unwrap()
@@ -405,7 +371,7 @@
             }
             Event::Written(h, epoch) if epoch == self.hosts[h].epoch => {
                 if let Some(w) = self.hosts[h].writing.take() {
-                    self.hosts[h].disk.take(&w);
+                    self.hosts[h].disk.write(&w);
                 }
                 self.act(h, |n, now, out| n.on(now, Input::Written, out));
             }
@@ -424,7 +390,7 @@
                 let host = &mut self.hosts[h];
                 // What the disk was told and had not answered for is there whole, or not at all.
                 if let Some(w) = host.writing.take().filter(|_| torn) {
-                    host.disk.take(&w);
+                    host.disk.write(&w);
                 }
                 (host.node, host.stopped) = (None, false);
                 host.epoch += 1;
