Rig: what quiet members cost as real processes, by role

Slopes taken with hollow members are to stand beside real processes. `badgerwind-rig steady` starts members of the register without relays between them and prints bytes and segments of their connections (ss), processor time and resident memory (/proc) for a follower, a voter and the leader.

--- a/crates/badgerwind-rig/src/day.rs
+++ b/crates/badgerwind-rig/src/day.rs
@@ -86,18 +86,53 @@
     fast: Vec<i64>,
     voters: usize,
     starts: usize,
+    /// Further arguments of each member.
+    arguments: Vec<String>,
     /// Members that ended though nobody killed them.
     pub wrong: Vec<String>,
 }
 
 impl Fleet {
-    /// Starts members of which the first so many vote. `program` is the rig's own.
+    /// Starts members of which the first so many vote, with a relay for each way between two. `program` is the rig's own.
     pub fn start(
         program: &Path,
         folder: &Path,
         members: usize,
         trial: &Trial,
         fast: Vec<i64>,
+    ) -> Result<Fleet, RigError> {
+        let mut fleet = Fleet::prepare(program, folder, members, trial, fast, true)?;
+        fleet.act(&Fault::Start((0..members).collect()))?;
+        Ok(fleet)
+    }
+
+    /// The same without relays, and with further arguments for each member: nothing can be cut.
+    pub fn start_direct(
+        program: &Path,
+        folder: &Path,
+        members: usize,
+        trial: &Trial,
+        arguments: &[&str],
+    ) -> Result<Fleet, RigError> {
+        let mut fleet = Fleet::prepare(program, folder, members, trial, vec![0; members], false)?;
+        fleet.arguments = arguments.iter().map(|a| (*a).to_owned()).collect();
+        fleet.act(&Fault::Start((0..members).collect()))?;
+        Ok(fleet)
+    }
+
+    /// Process numbers of members that run, each with its place.
+    pub fn processes(&self) -> Vec<(usize, u32)> {
+        let running = self.members.iter().enumerate();
+        running.filter_map(|(n, p)| p.as_ref().map(|p| (n, p.0.id()))).collect()
+    }
+
+    fn prepare(
+        program: &Path,
+        folder: &Path,
+        members: usize,
+        trial: &Trial,
+        fast: Vec<i64>,
+        with_relays: bool,
     ) -> Result<Fleet, RigError> {
         let file = |name: &str| folder.join(name);
         let write = |name: &str, text: Vec<u8>| {
@@ -123,6 +158,10 @@
         for from in 0..members {
             let mut peers = BTreeMap::new();
             for to in (0..members).filter(|to| *to != from) {
+                if !with_relays {
+                    peers.insert(to as u16, listen[to]);
+                    continue;
+                }
                 let relay = smol::block_on(Relay::start(listen[to])).map_err(RigError::Network)?;
                 peers.insert(to as u16, relay.at);
                 relays.insert((from, to), relay);
@@ -136,7 +175,7 @@
         }
         let none = (0..members).map(|_| None).collect();
         let (program, folder) = (program.to_owned(), folder.to_owned());
-        let mut fleet = Fleet {
+        Ok(Fleet {
             program,
             folder,
             listen,
@@ -145,10 +184,9 @@
             fast,
             voters,
             starts: 0,
+            arguments: Vec::new(),
             wrong: Vec::new(),
-        };
-        fleet.act(&Fault::Start((0..members).collect()))?;
-        Ok(fleet)
+        })
     }
 
     fn begin(&mut self, n: usize) -> Result<(), RigError> {
@@ -168,6 +206,7 @@
         if n < self.voters {
             command.arg("--disk").arg(file(format!("disk-{n}")));
         }
+        command.args(&self.arguments);
         let child = command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(log).spawn();
         self.members[n] = Some(Process(child.map_err(RigError::Process)?));
         Ok(())
--- a/crates/badgerwind-rig/src/lib.rs
+++ b/crates/badgerwind-rig/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod day;
 pub mod member;
+pub mod steady;
 
 /// What went wrong in the rig itself.
 #[derive(Debug, thiserror::Error)]
@@ -21,6 +22,9 @@
     /// A process.
     #[error("cannot run a member: {0}")]
     Process(std::io::Error),
+    /// A program of the system that counts for the rig.
+    #[error("cannot run {0}: {1}; it counts what connections carry, and comes with iproute2")]
+    Counter(&'static str, std::io::Error),
     /// The network between them.
     #[error("no network between members: {0}")]
     Network(std::io::Error),
--- a/crates/badgerwind-rig/src/main.rs
+++ b/crates/badgerwind-rig/src/main.rs
@@ -1,6 +1,6 @@
 //! The rig's program: one member for a day's processes, or a whole day.
 
-use badgerwind_rig::{day, member, RigError};
+use badgerwind_rig::{day, member, steady, RigError};
 use clap::Parser;
 use std::process::ExitCode;
 
@@ -12,12 +12,15 @@
     Member(member::Args),
     /// A drawn day of the register between many of them; the last line says what it came to
     Register(day::Args),
+    /// What quiet members cost as real processes, by role
+    Steady(steady::Args),
 }
 
 fn main() -> ExitCode {
     let done: Result<bool, RigError> = match Command::parse() {
         Command::Member(args) => member::run(&args).map(|()| true),
         Command::Register(args) => day::run(&args),
+        Command::Steady(args) => steady::run(&args),
     };
     match done {
         Ok(true) => ExitCode::SUCCESS,
--- a/crates/badgerwind-rig/src/member.rs
+++ b/crates/badgerwind-rig/src/member.rs
@@ -14,11 +14,6 @@
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-/// Between two looks at whether it may act.
-const PACE: Duration = Duration::from_millis(2);
-/// Looks between two words.
-const WORDS: u32 = 8;
-
 /// Arguments of a member.
 #[derive(clap::Args, Debug)]
 pub struct Args {
@@ -46,6 +41,18 @@
     /// Millionths by which its clock runs fast
     #[arg(long, default_value_t = 0, allow_hyphen_values = true)]
     clock_fast: i64,
+    /// Milliseconds between two looks at whether it may act
+    #[arg(long, default_value_t = 2, value_parser = clap::value_parser!(u64).range(1..=60_000))]
+    look_every: u64,
+    /// Looks between two records that it writes to the register; 0 for none
+    #[arg(long, default_value_t = 8)]
+    record_every: u32,
+    /// Bytes of such a record
+    #[arg(long, default_value_t = 4, value_parser = clap::value_parser!(u32).range(4..=1024))]
+    record_bytes: u32,
+    /// Does not write down what the log tells it: what is measured then is the member alone
+    #[arg(long)]
+    without_events: bool,
 }
 
 /// What all members of a day go by.
@@ -107,16 +114,22 @@
     }
 }
 
-struct Writes(Arc<Record>);
+struct Writes {
+    record: Arc<Record>,
+    events: bool,
+}
 
 impl Watch<Nothing> for Writes {
     fn event(&mut self, at: Time, entry: Index, event: &Event) {
+        if !self.events {
+            return;
+        }
         let event = match *event {
             Event::Began(of, life) => Told::Began { of, life },
             Event::Over(of, life) => Told::Over { of, life },
             Event::Said(of, life, serial) => Told::Said { of, life, serial },
         };
-        self.0.write(at, What::Told { entry, event });
+        self.record.write(at, What::Told { entry, event });
     }
 }
 
@@ -148,9 +161,10 @@
         disk: args.disk.clone(),
         clock_fast: args.clock_fast,
     };
+    let writes = Writes { record: record.clone(), events: !args.without_events };
     // Held until the start is known: what the member's thread is told meanwhile waits for it.
     let mut start = record.start.lock().unwrap_or_else(PoisonError::into_inner);
-    let started = RegisterMember::start(options, Nothing, Writes(record.clone()));
+    let started = RegisterMember::start(options, Nothing, writes);
     let (member, ended) = started.map_err(|e| RigError::Member(e.to_string()))?;
     let own = i128::from(member.now()) * 1_000_000 / (1_000_000 + i128::from(args.clock_fast)).max(1);
     *start = wall() - own as u64;
@@ -162,12 +176,14 @@
         // The effect is this line; what it bears was looked at at that moment.
         if let (Some(life), at) = member.alive_at() {
             record.write(at, What::Acted { life });
-            if turn % WORDS == 0 {
+            if args.record_every > 0 && turn % args.record_every == 0 {
                 // Refused where the lease ran out in between, or too many wait: there is a next time.
-                let _ = smol::block_on(member.say(turn.to_be_bytes().to_vec()));
+                let mut bytes = turn.to_be_bytes().to_vec();
+                bytes.resize(args.record_bytes as usize, 0);
+                let _ = smol::block_on(member.say(bytes));
             }
         }
-        std::thread::sleep(PACE);
+        std::thread::sleep(Duration::from_millis(args.look_every));
     }
     Ok(())
 }
