--- a/crates/badgerwind-budgets/src/coordinator.rs
+++ b/crates/badgerwind-budgets/src/coordinator.rs
@@ -1,63 +1,63 @@
-//! The keeper: a front end that most voters have given their vote, and that says who owns which unit. It keeps nothing on
-//! disk. One that begins knows nothing of what its forerunner granted: it lets holders go on with what they hold, and gives
-//! nothing new out until every grant of before must be over and has rested.
+//! The coordinator: a front end that most voters have given their vote, and that says who owns which unit. It keeps nothing on
+//! disk. One that begins knows nothing of what its forerunner granted: it lets lessees go on with what they hold, and gives
+//! nothing new out until every grant of before must have ended and has rested.
 
 use crate::divide::fair;
 use crate::message::{Message, RANGES};
-use crate::terms::{Book, Life, Member, Terms, Time, Whole};
+use crate::terms::{Book, Incarnation, Limit, Member, Terms, Time};
 use crate::units::{Unit, Units};
-use crate::Flaw;
+use crate::Mutant;
 use std::collections::BTreeMap;
 
-/// A holder keeps what is above its part by less than one in so many.
+/// A lessee keeps what is above its part by less than one in so many.
 const TREMBLE: usize = 8;
 
 /// A unit's entry.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Entry {
     /// Who may hold it.
-    owner: Option<(Member, Life)>,
-    /// It must be over for the owner by then, on this clock.
+    owner: Option<(Member, Incarnation)>,
+    /// It must have ended for the owner by then, on this clock.
     until: Time,
     /// From then on it may be another's.
     free_from: Time,
-    /// Nor before this, whatever holders say: an earlier keeper may have given it to one who has not asked since.
+    /// Nor before this, whatever lessees say: an earlier coordinator may have given it to one who has not asked since.
     unknown_until: Time,
 }
 
 /// A member, as it last asked.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct Asker {
-    life: Life,
+    incarnation: Incarnation,
     /// By budget: the serial, what it wants, and when it said so.
     asked: BTreeMap<u8, (u32, Unit, Time)>,
 }
 
-/// What a keeper knows while it reigns.
+/// What a coordinator knows while it coordinates.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-struct Reign {
+struct Leadership {
     ledgers: Vec<Vec<Entry>>,
     askers: BTreeMap<Member, Asker>,
 }
 
-/// A candidate, or the keeper.
+/// A candidate, or the coordinator.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Keeper {
+pub struct Coordinator {
     me: Member,
-    life: Life,
+    incarnation: Incarnation,
     round: u32,
     /// When this round's votes were asked for.
     asked_at: Time,
     /// Votes, and until when they count on this clock.
     votes: BTreeMap<Member, Time>,
-    reign: Option<Reign>,
-    flaw: Option<Flaw>,
+    leadership: Option<Leadership>,
+    mutant: Option<Mutant>,
 }
 
 /// What is known of a unit, for people.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Standing {
-    /// Somebody's, or over by then.
+    /// Somebody's, or ended by then.
     Owned(Member, Time),
     /// In nobody's hands until then.
     Rests(Time),
@@ -65,85 +65,99 @@
     Free,
 }
 
-impl Keeper {
-    /// A front end that may become keeper.
-    pub fn new(me: Member, life: Life) -> Keeper {
-        Keeper { me, life, round: 0, asked_at: 0, votes: BTreeMap::new(), reign: None, flaw: None }
+impl Coordinator {
+    /// A front end that may become coordinator.
+    pub fn new(me: Member, incarnation: Incarnation) -> Coordinator {
+        Coordinator {
+            me,
+            incarnation,
+            round: 0,
+            asked_at: 0,
+            votes: BTreeMap::new(),
+            leadership: None,
+            mutant: None,
+        }
     }
 
     /// With a defect; for tests that show that it is found.
     #[doc(hidden)]
-    pub fn with(mut self, flaw: Option<Flaw>) -> Keeper {
-        self.flaw = flaw;
+    pub fn with(mut self, mutant: Option<Mutant>) -> Coordinator {
+        self.mutant = mutant;
         self
     }
 
     /// Asks all voters for their vote; answers to earlier rounds count no more.
-    pub fn canvass(&mut self, now: Time, book: &Book, terms: &Terms) -> Message {
+    pub fn request_votes(&mut self, now: Time, book: &Book, terms: &Terms) -> Message {
         self.round += 1;
         self.asked_at = now;
-        let reigns = self.reigns(now, book, terms);
-        Message::Canvass { life: self.life, round: self.round, reigns, version: book.version }
+        let is_coordinator = self.is_coordinator(now, book, terms);
+        Message::RequestVote {
+            incarnation: self.incarnation,
+            round: self.round,
+            is_coordinator,
+            version: book.version,
+        }
     }
 
     /// A vote has come. It counts from when it was asked for.
     pub fn voted(&mut self, now: Time, from: Member, message: &Message, book: &Book, terms: &Terms) {
-        let Message::Vote { life, round } = message else { return };
-        let mine = *life == self.life && (*round == self.round || self.flaw == Some(Flaw::CountsOldVotes));
+        let Message::Vote { incarnation, round } = message else { return };
+        let mine = *incarnation == self.incarnation
+            && (*round == self.round || self.mutant == Some(Mutant::CountsOldVotes));
         if mine && terms.voters.contains(&from) {
             self.votes.insert(from, self.asked_at + terms.vote);
-            self.reigns(now, book, terms);
+            self.is_coordinator(now, book, terms);
         }
     }
 
-    /// Whether it is keeper at this moment. A reign that lapsed for an instant is over: another may have been keeper since.
-    pub fn reigns(&mut self, now: Time, book: &Book, terms: &Terms) -> bool {
-        if self.flaw != Some(Flaw::VotesNeverEnd) {
+    /// Whether it is coordinator at this moment. A leadership that lapsed for an instant has ended: another may have been coordinator since.
+    pub fn is_coordinator(&mut self, now: Time, book: &Book, terms: &Terms) -> bool {
+        if self.mutant != Some(Mutant::VotesNeverEnd) {
             self.votes.retain(|_, until| now < *until);
         }
         let enough = terms.most(self.votes.len())
-            || self.flaw == Some(Flaw::HalfIsEnough) && 2 * self.votes.len() >= terms.voters.len();
+            || self.mutant == Some(Mutant::HalfIsEnough) && 2 * self.votes.len() >= terms.voters.len();
         if !enough {
-            self.reign = None;
-        } else if self.reign.is_none() {
-            self.reign = Some(Reign {
-                ledgers: book.wholes.iter().map(|w| self.nothing_known(now, w, terms)).collect(),
+            self.leadership = None;
+        } else if self.leadership.is_none() {
+            self.leadership = Some(Leadership {
+                ledgers: book.limits.iter().map(|w| self.nothing_known(now, w, terms)).collect(),
                 askers: BTreeMap::new(),
             });
         }
-        self.reign.is_some()
+        self.leadership.is_some()
     }
 
-    fn nothing_known(&self, now: Time, whole: &Whole, terms: &Terms) -> Vec<Entry> {
-        let over = now + terms.outlasts(terms.lease);
-        let mut free_from = over + terms.outlasts(whole.rest);
-        if self.flaw == Some(Flaw::NewKeeperGivesAtOnce) {
+    fn nothing_known(&self, now: Time, limit: &Limit, terms: &Terms) -> Vec<Entry> {
+        let ended_by = now + terms.outlasts(terms.lease);
+        let mut free_from = ended_by + terms.outlasts(limit.rest);
+        if self.mutant == Some(Mutant::NewCoordinatorGivesAtOnce) {
             free_from = now;
         }
         vec![
-            Entry { owner: None, until: over, free_from, unknown_until: free_from };
-            usize::from(whole.units)
+            Entry { owner: None, until: ended_by, free_from, unknown_until: free_from };
+            usize::from(limit.units)
         ]
     }
 
     /// Another version of the settings: units that are new are free once nothing of before can hold them.
     pub fn set(&mut self, now: Time, book: &Book, terms: &Terms) {
-        let Some(mut reign) = self.reign.take() else { return };
-        for (n, whole) in book.wholes.iter().enumerate() {
-            let fresh = self.nothing_known(now, whole, terms);
-            match reign.ledgers.get_mut(n) {
+        let Some(mut leadership) = self.leadership.take() else { return };
+        for (n, limit) in book.limits.iter().enumerate() {
+            let fresh = self.nothing_known(now, limit, terms);
+            match leadership.ledgers.get_mut(n) {
                 Some(ledger) => {
                     let had = ledger.len();
                     ledger.truncate(fresh.len());
                     ledger.extend(fresh.into_iter().skip(had));
                 }
-                None => reign.ledgers.push(fresh),
+                None => leadership.ledgers.push(fresh),
             }
         }
-        self.reign = Some(reign);
+        self.leadership = Some(leadership);
     }
 
-    /// Answers a holder's ask, if it is keeper. What holds at this moment is looked at here and nowhere else.
+    /// Answers a lessee's ask, if it is coordinator. What holds at this moment is looked at here and nowhere else.
     pub fn asked(
         &mut self,
         now: Time,
@@ -152,42 +166,42 @@
         book: &Book,
         terms: &Terms,
     ) -> Option<Message> {
-        let Message::Ask { budget, life, serial, version, held, wants } = message else { return None };
-        let whole = book.wholes.get(usize::from(*budget)).filter(|_| *version == book.version)?;
-        if !self.reigns(now, book, terms) {
+        let Message::Ask { budget, incarnation, serial, version, held, wants } = message else { return None };
+        let limit = book.limits.get(usize::from(*budget)).filter(|_| *version == book.version)?;
+        if !self.is_coordinator(now, book, terms) {
             return None;
         }
-        let flaw = self.flaw;
-        let reign = self.reign.as_mut()?;
-        let none = || Asker { life: *life, asked: BTreeMap::new() };
-        let asker = reign.askers.entry(from).or_insert_with(none);
-        if *life < asker.life {
-            return Some(Message::Outlived { life: *life, latest: asker.life });
+        let mutant = self.mutant;
+        let leadership = self.leadership.as_mut()?;
+        let none = || Asker { incarnation: *incarnation, asked: BTreeMap::new() };
+        let asker = leadership.askers.entry(from).or_insert_with(none);
+        if *incarnation < asker.incarnation {
+            return Some(Message::Superseded { incarnation: *incarnation, latest: asker.incarnation });
         }
-        if *life > asker.life {
+        if *incarnation > asker.incarnation {
             *asker = none();
         }
         let last = asker.asked.get(budget).map_or(0, |a| a.0);
-        if *serial <= last && flaw != Some(Flaw::TakesOldAsks) {
+        if *serial <= last && mutant != Some(Mutant::TakesOldAsks) {
             return None;
         }
         asker.asked.insert(*budget, (*serial, *wants, now));
-        let ledger = &mut reign.ledgers[usize::from(*budget)];
-        let pool = whole.granted();
-        let (lease, rest) = (terms.outlasts(terms.lease), terms.outlasts(whole.rest));
-        let (lease, rest) = match flaw {
-            Some(Flaw::NoRest) => (lease, 0),
-            Some(Flaw::IgnoresDrift) => (terms.lease, whole.rest),
-            Some(Flaw::ForgetsLease) => (0, 0),
+        let ledger = &mut leadership.ledgers[usize::from(*budget)];
+        let pool = limit.granted();
+        let (lease, rest) = (terms.outlasts(terms.lease), terms.outlasts(limit.rest));
+        let (lease, rest) = match mutant {
+            Some(Mutant::NoRest) => (lease, 0),
+            Some(Mutant::IgnoresDrift) => (terms.lease, limit.rest),
+            Some(Mutant::ForgetsLease) => (0, 0),
             _ => (lease, rest),
         };
-        // What the same life no longer holds it will never use again: it rests from now.
-        let who = (from, *life);
+        // What the same incarnation no longer holds it will never use again: it rests from now.
+        let who = (from, *incarnation);
         for (n, e) in ledger.iter_mut().enumerate() {
             if e.owner == Some(who) && !held.has(n as Unit) {
                 (e.owner, e.until) = (None, now);
                 e.free_from = e.free_from.min(now + rest);
-                if flaw != Some(Flaw::ForgetsTheUnknown) {
+                if mutant != Some(Mutant::ForgetsTheUnknown) {
                     e.free_from = e.free_from.max(e.unknown_until);
                 }
             }
@@ -199,17 +213,17 @@
             e.owner == Some(who) || unknown(e)
         };
         let held = held.only(|u| pool.has(u) && may_keep(u));
-        let target = self.part(now, from, *budget, whole, terms);
-        let reign = self.reign.as_mut()?;
-        let ledger = &mut reign.ledgers[usize::from(*budget)];
-        let moves = usize::from((u32::from(whole.units) * u32::from(terms.moves) / 256).max(1) as Unit);
+        let target = self.part(now, from, *budget, limit, terms);
+        let leadership = self.leadership.as_mut()?;
+        let ledger = &mut leadership.ledgers[usize::from(*budget)];
+        let moves = usize::from((u32::from(limit.units) * u32::from(terms.moves) / 256).max(1) as Unit);
         // A little more than its part stays where it is: demand trembles, and what moves rests on its way.
-        let over = held.len().saturating_sub(target);
-        let over = if over * TREMBLE > held.len() { over.min(moves) } else { 0 };
-        let keep: Units = held.iter().take(held.len() - over).collect();
+        let excess = held.len().saturating_sub(target);
+        let excess = if excess * TREMBLE > held.len() { excess.min(moves) } else { 0 };
+        let keep: Units = held.iter().take(held.len() - excess).collect();
         let free = |u: &Unit| {
             let e = &ledger[usize::from(*u)];
-            let gone = now >= e.free_from || flaw == Some(Flaw::GivesTwice) && e.owner != Some(who);
+            let gone = now >= e.free_from || mutant == Some(Mutant::GivesTwice) && e.owner != Some(who);
             gone && !keep.has(*u)
         };
         let more = target.saturating_sub(keep.len()).min(moves.max(target / 2));
@@ -219,24 +233,24 @@
             let e = &mut ledger[usize::from(u)];
             (e.owner, e.until, e.free_from) = (Some(who), now + lease, now + lease + rest);
         }
-        let (budget, life, serial, version) = (*budget, *life, *serial, *version);
-        Some(Message::Grant { budget, life, serial, version, keep, fresh })
+        let (budget, incarnation, serial, version) = (*budget, *incarnation, *serial, *version);
+        Some(Message::Grant { budget, incarnation, serial, version, keep, fresh })
     }
 
     /// A member's part of what is granted, by what those say who asked lately.
-    fn part(&self, now: Time, member: Member, budget: u8, whole: &Whole, terms: &Terms) -> usize {
-        let Some(reign) = &self.reign else { return 0 };
+    fn part(&self, now: Time, member: Member, budget: u8, limit: &Limit, terms: &Terms) -> usize {
+        let Some(leadership) = &self.leadership else { return 0 };
         let lately = |a: &Asker| a.asked.get(&budget).filter(|a| now < a.2 + terms.lease).map(|a| a.1);
         let all: Vec<(Member, Unit)> =
-            reign.askers.iter().filter_map(|(m, a)| lately(a).map(|wants| (*m, wants))).collect();
+            leadership.askers.iter().filter_map(|(m, a)| lately(a).map(|wants| (*m, wants))).collect();
         let wants: Vec<Unit> = all.iter().map(|a| a.1).collect();
-        let parts = fair(whole.granted().len() as Unit, &wants, 0);
+        let parts = fair(limit.granted().len() as Unit, &wants, 0);
         all.iter().position(|a| a.0 == member).map_or(0, |n| usize::from(parts[n]))
     }
 
-    /// What is known of each unit of a budget that is granted; `None` where it is not keeper.
-    pub fn standings(&self, now: Time, budget: u8, whole: &Whole) -> Option<Vec<(Unit, Standing)>> {
-        let ledger = self.reign.as_ref()?.ledgers.get(usize::from(budget))?;
+    /// What is known of each unit of a budget that is granted; `None` where it is not coordinator.
+    pub fn standings(&self, now: Time, budget: u8, limit: &Limit) -> Option<Vec<(Unit, Standing)>> {
+        let ledger = self.leadership.as_ref()?.ledgers.get(usize::from(budget))?;
         let say = |u: Unit| {
             let e = &ledger[usize::from(u)];
             match e.owner {
@@ -245,6 +259,6 @@
                 _ => Standing::Free,
             }
         };
-        Some(whole.granted().iter().map(|u| (u, say(u))).collect())
+        Some(limit.granted().iter().map(|u| (u, say(u))).collect())
     }
 }
--- a/crates/badgerwind-budgets/src/election.rs
+++ b/crates/badgerwind-budgets/src/election.rs
@@ -1,4 +1,4 @@
-//! When a front end asks for votes. Only whether there is a keeper rests on this, and how soon; never that there is one at
+//! When a front end asks for votes. Only whether there is a coordinator rests on this, and how soon; never that there is one at
 //! most.
 
 use crate::node::To;
@@ -11,23 +11,23 @@
 
 /// A member's side of elections.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Campaign {
+pub struct Election {
     /// How many stand before it: voters in the order of the terms, then all others together.
     rank: u64,
     due: Time,
     heard: Time,
-    /// When all were told last.
-    told: Time,
+    /// When it was last announced to all.
+    announced: Time,
 }
 
-impl Campaign {
+impl Election {
     /// Of a process that starts now; it listens first. `part` is drawn from 0 to 1, here and below: candidates that ask
     /// in step would split the votes again and again.
-    pub fn new(now: Time, me: Member, terms: &Terms, part: f64) -> Campaign {
+    pub fn new(now: Time, me: Member, terms: &Terms, part: f64) -> Election {
         let rank = terms.voters.iter().position(|v| *v == me).unwrap_or(terms.voters.len()) as u64;
-        let mut campaign = Campaign { rank, due: 0, heard: now, told: 0 };
-        campaign.due = now + terms.outlasts(terms.vote) + campaign.turn(terms, part);
-        campaign
+        let mut election = Election { rank, due: 0, heard: now, announced: 0 };
+        election.due = now + terms.outlasts(terms.vote) + election.turn(terms, part);
+        election
     }
 
     /// Its place in line after a vote's time, and a little more by chance.
@@ -36,29 +36,29 @@
         self.rank.min(MOST_TURNS) * step + (step as f64 * part.clamp(0.0, 1.0)) as Span
     }
 
-    /// A keeper has made itself heard. Whoever hears one leaves it in peace.
-    pub fn heard_keeper(&mut self, now: Time) {
+    /// A coordinator has made itself heard. Whoever hears one leaves it in peace.
+    pub fn heard_coordinator(&mut self, now: Time) {
         self.heard = now;
     }
 
-    /// This front end has become keeper: it asks again long before its votes end.
+    /// This front end has become coordinator: it asks again long before its votes end.
     pub fn won(&mut self, now: Time, terms: &Terms) {
-        (self.due, self.told) = (now + terms.vote / ROUNDS, 0);
+        (self.due, self.announced) = (now + terms.vote / ROUNDS, 0);
     }
 
-    /// Whom to ask for votes now, if anybody. Others than voters are told of a keeper only, and seldomer: what each of three
-    /// hundred says to all is said ninety thousand times.
-    pub fn asks(&mut self, now: Time, reigns: bool, terms: &Terms, part: f64) -> Option<To> {
+    /// Whom to ask for votes now, if anybody. To others than voters a coordinator announces itself, and seldomer: what
+    /// each of three hundred sends to all is sent ninety thousand times.
+    pub fn asks(&mut self, now: Time, is_coordinator: bool, terms: &Terms, part: f64) -> Option<To> {
         if now < self.due {
             return None;
         }
-        if reigns {
+        if is_coordinator {
             self.due = now + terms.vote / ROUNDS;
-            let all = now >= self.told + terms.vote / 2;
-            self.told = if all { now } else { self.told };
+            let all = now >= self.announced + terms.vote / 2;
+            self.announced = if all { now } else { self.announced };
             return Some(if all { To::All } else { To::Voters });
         }
-        // Some words of a keeper are lost.
+        // Some messages of a coordinator are lost.
         let alone = now >= self.heard + 2 * terms.vote;
         // A lost vote binds its voter for as long as a won one.
         let from = if alone { now } else { self.heard + terms.vote };
--- a/crates/badgerwind-budgets/src/message.rs
+++ b/crates/badgerwind-budgets/src/message.rs
@@ -1,6 +1,6 @@
 //! What members say to each other about budgets, and its bytes: 256 at the most.
 
-use crate::terms::{Life, Span};
+use crate::terms::{Incarnation, Span};
 use crate::units::{Unit, Units};
 
 /// The form of these bytes. Others are passed over, like a lost datagram.
@@ -13,60 +13,60 @@
 /// A message.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub enum Message {
-    /// Asks for a vote; a keeper asks again long before the last one ends.
-    Canvass {
-        /// The asking life.
-        life: Life,
+    /// Asks for a vote; a coordinator asks again long before the last one ends.
+    RequestVote {
+        /// The asking incarnation.
+        incarnation: Incarnation,
         /// Told apart from its other rounds.
         round: u32,
-        /// It is keeper now: whoever wants units may ask it.
-        reigns: bool,
+        /// It is coordinator now: whoever wants units may ask it.
+        is_coordinator: bool,
         /// The version of the settings that it goes by.
         version: u32,
     },
     /// A vote, for the time that the terms name from when it was asked for.
     Vote {
-        /// To this life.
-        life: Life,
+        /// To this incarnation.
+        incarnation: Incarnation,
         /// For this round.
         round: u32,
     },
-    /// A holder says what it holds and wants of a budget.
+    /// A lessee says what it holds and wants of a budget.
     Ask {
         /// The budget.
         budget: u8,
-        /// The asking life.
-        life: Life,
+        /// The asking incarnation.
+        incarnation: Incarnation,
         /// Counted up with each.
         serial: u32,
-        /// The version of the whole that it goes by.
+        /// The version of the limit that it goes by.
         version: u32,
         /// What it holds, whatever its lease; nothing else will it use under an earlier grant.
         held: Units,
         /// Units that it could use.
         wants: Unit,
     },
-    /// The keeper's word on an ask.
+    /// The coordinator's answer to an ask.
     Grant {
         /// The budget.
         budget: u8,
-        /// To this life.
-        life: Life,
+        /// To this incarnation.
+        incarnation: Incarnation,
         /// For this ask.
         serial: u32,
-        /// The version of the whole.
+        /// The version of the limit.
         version: u32,
-        /// Of what the holder holds it may go on with these, if it holds them still.
+        /// Of what the lessee holds it may go on with these, if it holds them still.
         keep: Units,
         /// Nobody holds these: they are its own from now on.
         fresh: Units,
     },
-    /// A later life has asked in this one's name, or one from before its own first word.
-    Outlived {
-        /// To this life.
-        life: Life,
+    /// A later incarnation has asked in this one's name, or one from before its own first message.
+    Superseded {
+        /// To this incarnation.
+        incarnation: Incarnation,
         /// The latest known.
-        latest: Life,
+        latest: Incarnation,
     },
 }
 
@@ -125,37 +125,37 @@
     pub fn bytes(&self) -> Vec<u8> {
         let mut out = vec![FORM];
         match self {
-            Message::Canvass { life, round, reigns, version } => {
+            Message::RequestVote { incarnation, round, is_coordinator, version } => {
                 out.push(1);
-                out.extend(life.to_be_bytes());
+                out.extend(incarnation.to_be_bytes());
                 out.extend(round.to_be_bytes());
-                out.push(u8::from(*reigns));
+                out.push(u8::from(*is_coordinator));
                 out.extend(version.to_be_bytes());
             }
-            Message::Vote { life, round } => {
+            Message::Vote { incarnation, round } => {
                 out.push(2);
-                out.extend(life.to_be_bytes());
+                out.extend(incarnation.to_be_bytes());
                 out.extend(round.to_be_bytes());
             }
-            Message::Ask { budget, life, serial, version, held, wants } => {
+            Message::Ask { budget, incarnation, serial, version, held, wants } => {
                 out.extend([3, *budget]);
-                out.extend(life.to_be_bytes());
+                out.extend(incarnation.to_be_bytes());
                 out.extend(serial.to_be_bytes());
                 out.extend(version.to_be_bytes());
                 out.extend(wants.to_be_bytes());
                 put_units(&mut out, held, RANGES);
             }
-            Message::Grant { budget, life, serial, version, keep, fresh } => {
+            Message::Grant { budget, incarnation, serial, version, keep, fresh } => {
                 out.extend([4, *budget]);
-                out.extend(life.to_be_bytes());
+                out.extend(incarnation.to_be_bytes());
                 out.extend(serial.to_be_bytes());
                 out.extend(version.to_be_bytes());
                 put_units(&mut out, keep, RANGES);
                 put_units(&mut out, fresh, RANGES);
             }
-            Message::Outlived { life, latest } => {
+            Message::Superseded { incarnation, latest } => {
                 out.push(5);
-                out.extend(life.to_be_bytes());
+                out.extend(incarnation.to_be_bytes());
                 out.extend(latest.to_be_bytes());
             }
         }
@@ -172,13 +172,16 @@
             return None;
         }
         let message = match r.u8()? {
-            1 => {
-                Message::Canvass { life: r.u64()?, round: r.u32()?, reigns: r.u8()? == 1, version: r.u32()? }
-            }
-            2 => Message::Vote { life: r.u64()?, round: r.u32()? },
+            1 => Message::RequestVote {
+                incarnation: r.u64()?,
+                round: r.u32()?,
+                is_coordinator: r.u8()? == 1,
+                version: r.u32()?,
+            },
+            2 => Message::Vote { incarnation: r.u64()?, round: r.u32()? },
             3 => Message::Ask {
                 budget: r.u8()?,
-                life: r.u64()?,
+                incarnation: r.u64()?,
                 serial: r.u32()?,
                 version: r.u32()?,
                 wants: r.u16()?,
@@ -186,13 +189,13 @@
             },
             4 => Message::Grant {
                 budget: r.u8()?,
-                life: r.u64()?,
+                incarnation: r.u64()?,
                 serial: r.u32()?,
                 version: r.u32()?,
                 keep: r.units()?,
                 fresh: r.units()?,
             },
-            5 => Message::Outlived { life: r.u64()?, latest: r.u64()? },
+            5 => Message::Superseded { incarnation: r.u64()?, latest: r.u64()? },
             _ => return None,
         };
         r.0.is_empty().then_some(message)
--- a/crates/badgerwind-budgets/src/terms.rs
+++ b/crates/badgerwind-budgets/src/terms.rs
@@ -8,30 +8,30 @@
 pub type Span = u64;
 /// A front end's number, as the settings have it.
 pub type Member = u16;
-/// A member's life, told from its earlier ones: a later one is greater.
-pub type Life = u64;
+/// A member's incarnation, distinct from its earlier ones: a later one is greater.
+pub type Incarnation = u64;
 
 /// Terms of all budgets.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Terms {
-    /// Members whose votes make a keeper. More than half of them must agree.
+    /// Members whose votes make a coordinator. More than half of them must agree.
     pub voters: Vec<Member>,
     /// How long a vote counts, in microseconds.
     pub vote: Span,
-    /// How long a grant counts from when it was asked for, in microseconds. Three votes or more, so that holders go on
-    /// with what they have while another keeper is elected.
+    /// How long a grant counts from when it was asked for, in microseconds. Three votes or more, so that lessees go on
+    /// with what they have while another coordinator is elected.
     pub lease: Span,
     /// How often a member asks, in microseconds; a few times in a lease.
     pub beat: Span,
     /// No two clocks differ in rate by more than each being off by so many millionths. The one assumption on time.
     pub drift: u32,
-    /// Units that may change hands in a beat, as a part in 256 of the whole; one at the least.
+    /// Units that may change hands in a beat, as a part in 256 of the limit; one at the least.
     pub moves: u16,
 }
 
 /// What of a budget is shared out.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
-pub struct Whole {
+pub struct Limit {
     /// Units in all.
     pub units: Unit,
     /// Of these, units that are each member's for good: the first for member 0, and so on.
@@ -48,14 +48,14 @@
     /// A later one is greater.
     pub version: u32,
     /// Budgets by their numbers in messages.
-    pub wholes: Vec<Whole>,
+    pub limits: Vec<Limit>,
 }
 
 /// Terms that do not hold together.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum BadTerms {
-    /// The floors alone are more than the whole.
-    #[error("floors of {members} members at {floor} each exceed the whole of {units} units; a smaller floor or a larger whole")]
+    /// The floors alone are more than the limit.
+    #[error("floors of {members} members at {floor} each exceed the limit of {units} units; a smaller floor or a larger limit")]
     Floors {
         /// Units in all.
         units: Unit,
@@ -77,7 +77,7 @@
     Drift(u32),
     /// Floors are each member's for good: a front end that has not heard yet would go on spending those of the old cut.
     #[error(
-        "floors or budgets were cut anew in version {0}; only the wholes may change while front ends run"
+        "floors or budgets were cut anew in version {0}; only the limits may change while front ends run"
     )]
     Recut(u32),
     /// Nobody votes.
@@ -87,8 +87,8 @@
 
 impl Terms {
     /// Checks them.
-    pub fn check(&self, wholes: &[Whole]) -> Result<(), BadTerms> {
-        for w in wholes {
+    pub fn check(&self, limits: &[Limit]) -> Result<(), BadTerms> {
+        for w in limits {
             if u32::from(w.floor) * u32::from(w.members) > u32::from(w.units) {
                 return Err(BadTerms::Floors { units: w.units, floor: w.floor, members: w.members });
             }
@@ -112,7 +112,7 @@
         (u128::from(span) * fast).div_ceil(slow) as Span + 1
     }
 
-    /// Whether so many votes make a keeper.
+    /// Whether so many votes make a coordinator.
     pub fn most(&self, votes: usize) -> bool {
         2 * votes > self.voters.len()
     }
@@ -121,7 +121,7 @@
 impl Book {
     /// Whether another version may follow while front ends run.
     pub fn follows(&self, next: &Book) -> Result<(), BadTerms> {
-        let cut = |b: &Book| b.wholes.iter().map(|w| (w.floor, w.members, w.rest)).collect::<Vec<_>>();
+        let cut = |b: &Book| b.limits.iter().map(|w| (w.floor, w.members, w.rest)).collect::<Vec<_>>();
         if cut(self) == cut(next) {
             Ok(())
         } else {
@@ -130,7 +130,7 @@
     }
 }
 
-impl Whole {
+impl Limit {
     /// A member's for good.
     pub fn floor_of(&self, member: Member) -> Units {
         if member >= self.members {
--- a/crates/badgerwind-budgets/tests/figures.rs
+++ b/crates/badgerwind-budgets/tests/figures.rs
@@ -6,7 +6,7 @@
 use badgerwind_budgets::Unit;
 use world::*;
 
-/// Units owned over the whole, at so many seconds after the trouble; and when 0.95 of it was owned again.
+/// Units owned over the limit, at so many seconds after the trouble; and when 0.95 of it was owned again.
 fn day(members: usize, faults: Vec<(u64, Fault)>, loss: f64) -> (Vec<f64>, Option<f64>, f64, f64) {
     let units = 4 * members as Unit;
     let trouble = 8_000 * MS;
@@ -25,7 +25,7 @@
         eager: 0.0,
         faults,
         end,
-        flaw: None,
+        mutant: None,
         wants: vec![units; members],
     };
     let seen = World::new(plan).play();
--- a/crates/badgerwind-budgets/tests/model.rs
+++ b/crates/badgerwind-budgets/tests/model.rs
@@ -8,16 +8,16 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 const MEMBERS: usize = 3;
-/// They may become keeper; others vote and hold.
+/// They may become coordinator; others vote and hold.
 const CANDIDATES: usize = 2;
 
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 struct One {
-    life: Life,
-    holder: Holder,
+    incarnation: Incarnation,
+    lessee: Lessee,
     voter: Voter,
-    keeper: Keeper,
-    canvasses: u8,
+    coordinator: Coordinator,
+    vote_requests: u8,
     asks: u8,
 }
 
@@ -36,7 +36,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 enum Action {
     Tick,
-    Canvass(usize),
+    RequestVote(usize),
     Ask(usize, usize),
     Deliver(usize, usize, Vec<u8>, bool),
     Restart(usize),
@@ -46,30 +46,30 @@
 struct Fleet {
     terms: Terms,
     book: Book,
-    flaw: Option<Flaw>,
+    mutant: Option<Mutant>,
     end: Time,
-    canvasses: u8,
-    /// The same for the keeper of the start.
+    vote_requests: u8,
+    /// The same for the coordinator of the start.
     again: u8,
     asks: u8,
     copies: u8,
     restarts: u8,
     spends: bool,
-    /// One that the keeper of the start never heard of.
+    /// One that the coordinator of the start never heard of.
     silent: Option<usize>,
 }
 
 impl Fleet {
-    fn new(flaw: Option<Flaw>, end: Time) -> Fleet {
+    fn new(mutant: Option<Mutant>, end: Time) -> Fleet {
         let terms = Terms { voters: vec![0, 1, 2], vote: 4, lease: 2, beat: 1, drift: 0, moves: 256 };
-        let whole = Whole { units: 3, floor: 0, members: 3, rest: 1 };
-        let book = Book { version: 1, wholes: vec![whole] };
+        let limit = Limit { units: 3, floor: 0, members: 3, rest: 1 };
+        let book = Book { version: 1, limits: vec![limit] };
         Fleet {
             terms,
             book,
-            flaw,
+            mutant,
             end,
-            canvasses: 1,
+            vote_requests: 1,
             again: 0,
             asks: 2,
             copies: 0,
@@ -84,15 +84,15 @@
         100 + 4 * (self.terms.vote - 1)
     }
 
-    fn one(&self, n: usize, life: Life, now: Time) -> One {
+    fn one(&self, n: usize, incarnation: Incarnation, now: Time) -> One {
         let me = n as Member;
-        let forgets = self.flaw == Some(Flaw::VoterForgetsItsPromise) && life > 1;
+        let forgets = self.mutant == Some(Mutant::VoterForgetsItsPromise) && incarnation > 1;
         One {
-            life,
-            holder: Holder::new(now, (me, life), 0, &self.book, &self.terms).with(self.flaw),
+            incarnation,
+            lessee: Lessee::new(now, (me, incarnation), 0, &self.book, &self.terms).with(self.mutant),
             voter: Voter::new(if forgets { 0 } else { now }, &self.terms),
-            keeper: Keeper::new(me, life).with(self.flaw),
-            canvasses: self.canvasses,
+            coordinator: Coordinator::new(me, incarnation).with(self.mutant),
+            vote_requests: self.vote_requests,
             asks: if n == 1 { self.asks } else { 1 },
         }
     }
@@ -101,9 +101,9 @@
         let now = s.now;
         match action {
             Action::Tick => s.now += 1,
-            Action::Canvass(n) => {
-                s.members[n].canvasses -= 1;
-                let bytes = s.members[n].keeper.canvass(now, &self.book, &self.terms).bytes();
+            Action::RequestVote(n) => {
+                s.members[n].vote_requests -= 1;
+                let bytes = s.members[n].coordinator.request_votes(now, &self.book, &self.terms).bytes();
                 s.net.extend((0..MEMBERS).filter(|to| *to != n).map(|to| (n, to, bytes.clone())));
                 // Its own vote, where it has one to give, is there at once.
                 let own = Message::read(&bytes).expect("what was sent can be read");
@@ -112,10 +112,10 @@
                     self.step(s, Action::Deliver(n, n, vote.2, false));
                 }
             }
-            Action::Ask(n, keeper) => {
+            Action::Ask(n, coordinator) => {
                 s.members[n].asks -= 1;
-                let bytes = s.members[n].holder.ask(now, 3).bytes();
-                s.net.insert((n, keeper, bytes));
+                let bytes = s.members[n].lessee.ask(now, 3).bytes();
+                s.net.insert((n, coordinator, bytes));
             }
             Action::Deliver(from, to, bytes, again) => {
                 if again {
@@ -128,13 +128,14 @@
             }
             Action::Restart(n) => {
                 s.restarts -= 1;
-                let (life, left) = (s.members[n].life + 1, (s.members[n].canvasses, s.members[n].asks));
-                s.members[n] = self.one(n, life, now);
-                (s.members[n].canvasses, s.members[n].asks) = left;
+                let (incarnation, left) =
+                    (s.members[n].incarnation + 1, (s.members[n].vote_requests, s.members[n].asks));
+                s.members[n] = self.one(n, incarnation, now);
+                (s.members[n].vote_requests, s.members[n].asks) = left;
             }
             Action::Spend(n) => {
-                let rest = self.book.wholes[0].rest;
-                if let Some(unit) = s.members[n].holder.spend(now) {
+                let rest = self.book.limits[0].rest;
+                if let Some(unit) = s.members[n].lessee.spend(now) {
                     s.twice |= s.spent.insert(unit, now).is_some_and(|at| now < at + rest);
                 }
             }
@@ -145,23 +146,23 @@
         let (now, terms, book) = (s.now, &self.terms, &self.book);
         let m = &mut s.members[to];
         let answer = match message {
-            Message::Canvass { life, round, version, .. } => {
-                let who = (from as Member, *life);
-                let voted = m.voter.canvassed(now, who, (*version, book.version), terms);
-                voted.then_some(Message::Vote { life: *life, round: *round })
+            Message::RequestVote { incarnation, round, version, .. } => {
+                let who = (from as Member, *incarnation);
+                let voted = m.voter.vote_requested(now, who, (*version, book.version), terms);
+                voted.then_some(Message::Vote { incarnation: *incarnation, round: *round })
             }
             Message::Vote { .. } => {
-                m.keeper.voted(now, from as Member, message, book, terms);
+                m.coordinator.voted(now, from as Member, message, book, terms);
                 None
             }
-            Message::Ask { .. } => m.keeper.asked(now, from as Member, message, book, terms),
+            Message::Ask { .. } => m.coordinator.asked(now, from as Member, message, book, terms),
             Message::Grant { .. } => {
-                m.holder.heard(now, message);
+                m.lessee.heard(now, message);
                 None
             }
-            Message::Outlived { life, latest } => {
-                if m.holder.life() == *life {
-                    m.holder.reborn(latest + 1);
+            Message::Superseded { incarnation, latest } => {
+                if m.lessee.incarnation() == *incarnation {
+                    m.lessee.restart_as(latest + 1);
                 }
                 None
             }
@@ -183,17 +184,17 @@
         let (copies, restarts) = (self.copies, self.restarts);
         let net = BTreeSet::new();
         let mut s = State { now: 100, members, net, copies, restarts, spent: BTreeMap::new(), twice: false };
-        // Member 0 has been keeper for so long that it knows all units to be free.
+        // Member 0 has been coordinator for so long that it knows all units to be free.
         for _ in 0..4 {
             s.now += self.terms.vote - 1;
-            s.members[0].canvasses = 1;
-            self.step(&mut s, Action::Canvass(0));
+            s.members[0].vote_requests = 1;
+            self.step(&mut s, Action::RequestVote(0));
             s.net.retain(|m| Some(m.1) != self.silent);
             while let Some((from, to, bytes)) = s.net.first().cloned() {
                 self.step(&mut s, Action::Deliver(from, to, bytes, false));
             }
         }
-        s.members[0].canvasses = self.again;
+        s.members[0].vote_requests = self.again;
         vec![s]
     }
 
@@ -202,17 +203,17 @@
             out.push(Action::Tick);
         }
         for (n, m) in s.members.iter().enumerate() {
-            if n < CANDIDATES && m.canvasses > 0 {
-                out.push(Action::Canvass(n));
+            if n < CANDIDATES && m.vote_requests > 0 {
+                out.push(Action::RequestVote(n));
             }
-            // Holders ask whom they like: the one that reigns is not known to them.
+            // Lessees ask whom they like: the one that coordinates is not known to them.
             if n > 0 && m.asks > 0 {
                 (0..CANDIDATES).for_each(|k| out.push(Action::Ask(n, k)));
             }
             if s.restarts > 0 {
                 out.push(Action::Restart(n));
             }
-            if self.spends && !m.holder.owned(s.now).is_empty() {
+            if self.spends && !m.lessee.owned(s.now).is_empty() {
                 out.push(Action::Spend(n));
             }
         }
@@ -234,12 +235,12 @@
         vec![
             Property::always("no unit has two owners", |_, s: &State| {
                 let mut seen = BTreeSet::new();
-                let mut all = s.members.iter().flat_map(|m| m.holder.owned(s.now).iter().collect::<Vec<_>>());
+                let mut all = s.members.iter().flat_map(|m| m.lessee.owned(s.now).iter().collect::<Vec<_>>());
                 all.all(|u| seen.insert(u))
             }),
             Property::always("no unit is spent twice in its window", |_, s: &State| !s.twice),
-            Property::sometimes("the whole is owned", |_, s: &State| {
-                s.members.iter().map(|m| m.holder.owned(s.now).len()).sum::<usize>() == 3
+            Property::sometimes("the limit is owned", |_, s: &State| {
+                s.members.iter().map(|m| m.lessee.owned(s.now).len()).sum::<usize>() == 3
             }),
         ]
     }
@@ -249,7 +250,7 @@
     let checker = fleet.checker().threads(2).target_state_count(most).spawn_bfs().join();
     assert!(checker.state_count() < most, "more states than were to be explored");
     let found = checker.discoveries().into_keys().filter(|n| n.starts_with("no unit")).collect();
-    (checker.unique_state_count(), checker.discovery("the whole is owned").is_some(), found)
+    (checker.unique_state_count(), checker.discovery("the limit is owned").is_some(), found)
 }
 
 /// More than any of the cases has: those that are to be explored to their end are.
@@ -258,9 +259,9 @@
 #[test]
 fn no_reachable_state_gives_a_unit_two_owners() {
     for (name, fleet) in cases(None, 0) {
-        let (states, whole, found) = explored(fleet, MOST);
+        let (states, limit, found) = explored(fleet, MOST);
         println!("{name}: {states} states, {found:?}");
-        assert!(whole, "{name}: the whole can be owned");
+        assert!(limit, "{name}: the limit can be owned");
         assert!(found.is_empty(), "{name}: {found:?}");
     }
 }
@@ -282,27 +283,27 @@
 #[ignore = "two minutes"]
 fn a_voter_that_forgets_its_promise_is_found() {
     let two = vec!["no unit has two owners"];
-    let (states, _, found) = explored(forgetful(Some(Flaw::VoterForgetsItsPromise)), MOST);
+    let (states, _, found) = explored(forgetful(Some(Mutant::VoterForgetsItsPromise)), MOST);
     println!("found in {states} states");
     assert_eq!(found, two);
 }
 
-/// A keeper with votes for long; a voter of its majority starts again and could give its vote a second time.
-fn forgetful(flaw: Option<Flaw>) -> Fleet {
-    let mut fleet = Fleet { restarts: 1, asks: 1, silent: Some(2), ..Fleet::new(flaw, 5) };
+/// A coordinator with votes for long; a voter of its majority starts again and could give its vote a second time.
+fn forgetful(mutant: Option<Mutant>) -> Fleet {
+    let mut fleet = Fleet { restarts: 1, asks: 1, silent: Some(2), ..Fleet::new(mutant, 5) };
     fleet.terms.vote = 8;
     fleet
 }
 
 /// Bounds that reach different hazards, each small enough to be explored to its end; `more` makes the time longer.
-fn cases(flaw: Option<Flaw>, more: Time) -> Vec<(&'static str, Fleet)> {
-    let small = |end| Fleet { asks: 1, ..Fleet::new(flaw, end + more) };
+fn cases(mutant: Option<Mutant>, more: Time) -> Vec<(&'static str, Fleet)> {
+    let small = |end| Fleet { asks: 1, ..Fleet::new(mutant, end + more) };
     let mut turns = small(4);
-    (turns.terms.vote, turns.terms.lease, turns.book.wholes[0].rest) = (2, 1, 0);
+    (turns.terms.vote, turns.terms.lease, turns.book.limits[0].rest) = (2, 1, 0);
     vec![
-        ("two keepers in turn", turns),
+        ("two coordinators in turn", turns),
         ("a member restarts", Fleet { restarts: 1, ..small(2) }),
-        ("a message comes twice", Fleet { copies: 1, canvasses: 0, asks: 2, ..small(3) }),
-        ("units are spent", Fleet { spends: true, canvasses: 0, asks: 2, ..small(3) }),
+        ("a message comes twice", Fleet { copies: 1, vote_requests: 0, asks: 2, ..small(3) }),
+        ("units are spent", Fleet { spends: true, vote_requests: 0, asks: 2, ..small(3) }),
     ]
 }
--- a/crates/badgerwind-budgets/tests/schedules.rs
+++ b/crates/badgerwind-budgets/tests/schedules.rs
@@ -3,7 +3,7 @@
 
 mod world;
 
-use badgerwind_budgets::{Flaw, Unit};
+use badgerwind_budgets::{Mutant, Unit};
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
 use rand::{Rng, SeedableRng};
@@ -41,14 +41,14 @@
                 faults.push((to, Fault::Heal));
             }
             4 => faults.extend([(from, Fault::Cut(who, others)), (to, Fault::Heal)]),
-            // Half of the whole, and later all of it again; some hear of it late.
+            // Half of the limit, and later all of it again; some hear of it late.
             _ => {
                 let half = (units / 2).max(members as Unit * floor);
                 for (at, n, units) in [(from, 1, half), (to, 2, units)] {
                     let version = 1 + at.div_ceil(100) as u32 * 2 + n;
-                    faults.push((at, Fault::Whole(who.clone(), version, units)));
+                    faults.push((at, Fault::Limit(who.clone(), version, units)));
                     let rest = (0..members).filter(|i| !who.contains(i)).collect();
-                    faults.push((at + 700 * MS, Fault::Whole(rest, version, units)));
+                    faults.push((at + 700 * MS, Fault::Limit(rest, version, units)));
                 }
             }
         }
@@ -68,30 +68,32 @@
         eager: [0.0, 0.0, 0.05][rng.random_range(0..3)],
         faults,
         end,
-        flaw: None,
+        mutant: None,
         wants: (0..members).map(|_| rng.random_range(units / 2..=units)).collect(),
     }
 }
 
 fn schedules(seeds: std::ops::Range<u64>, most: usize) -> (f64, f64, u64) {
-    let (mut owned, mut spent, mut reigns) = (0.0f64, 0.0f64, 0);
+    let (mut owned, mut spent, mut leaderships) = (0.0f64, 0.0f64, 0);
     for seed in seeds {
         let plan = drawn(seed, most);
         let seen = World::new(plan.clone()).play();
         assert_eq!(seen.broken, None, "seed {seed}: {plan:?}");
-        (owned, spent, reigns) =
-            (owned.max(seen.most_owned), spent.max(seen.most_spent), reigns + seen.reigns);
+        (owned, spent, leaderships) =
+            (owned.max(seen.most_owned), spent.max(seen.most_spent), leaderships + seen.leaderships);
     }
-    (owned, spent, reigns)
+    (owned, spent, leaderships)
 }
 
 #[test]
 fn no_unit_has_two_owners_whatever_dies_stops_restarts_or_is_cut_off() {
-    let (owned, spent, reigns) = schedules(0..80, 9);
-    println!("most owned {owned:.3} of the whole, most spent in a window {spent:.3}, {reigns} reigns");
+    let (owned, spent, leaderships) = schedules(0..80, 9);
+    println!(
+        "most owned {owned:.3} of the limit, most spent in a window {spent:.3}, {leaderships} leaderships"
+    );
     assert!(owned <= 1.0 && spent <= 1.0);
     assert!(owned > 0.9 && spent > 0.5, "the days come near the limit: {owned} {spent}");
-    assert!(reigns > 100, "keepers come and go: {reigns}");
+    assert!(leaderships > 100, "coordinators come and go: {leaderships}");
 }
 
 /// `cargo test -p badgerwind-budgets --release --test schedules -- --ignored --nocapture`
@@ -105,40 +107,42 @@
         all.into_iter().map(|t| t.join().expect("its own days are kept")).collect()
     });
     let (owned, spent) = parts.iter().fold((0.0f64, 0.0f64), |m, p| (m.0.max(p.0), m.1.max(p.1)));
-    let reigns: u64 = parts.iter().map(|p| p.2).sum();
-    println!("most owned {owned:.3} of the whole, most spent in a window {spent:.3}, {reigns} reigns");
+    let leaderships: u64 = parts.iter().map(|p| p.2).sum();
+    println!(
+        "most owned {owned:.3} of the limit, most spent in a window {spent:.3}, {leaderships} leaderships"
+    );
 }
 
 /// Whether a defect shows on the day of this seed.
-fn shows(flaw: Flaw, seed: u64) -> Option<String> {
-    World::new(Plan { flaw: Some(flaw), ..drawn(seed, 9) }).play().broken.map(|b| b.1)
+fn shows(mutant: Mutant, seed: u64) -> Option<String> {
+    World::new(Plan { mutant: Some(mutant), ..drawn(seed, 9) }).play().broken.map(|b| b.1)
 }
 
 /// Each known way to get it wrong, and a seed of the days above on which it shows. Two more are in `turns.rs` and
 /// `model.rs`: they need an order of events that is seldom drawn.
-const FOUND: [(Flaw, u64); 14] = [
-    (Flaw::SpendsAfterLease, 1),
-    (Flaw::LeaseFromReceipt, 921),
-    (Flaw::TakesAnyGrant, 4),
-    (Flaw::HidesHoldings, 0),
-    (Flaw::RestartSpendsFloor, 1),
-    (Flaw::CountsOldVotes, 1507),
-    (Flaw::VotesNeverEnd, 7),
-    (Flaw::HalfIsEnough, 1),
-    (Flaw::NewKeeperGivesAtOnce, 0),
-    (Flaw::TakesOldAsks, 2),
-    (Flaw::NoRest, 23),
-    (Flaw::IgnoresDrift, 233),
-    (Flaw::ForgetsLease, 0),
-    (Flaw::GivesTwice, 0),
+const FOUND: [(Mutant, u64); 14] = [
+    (Mutant::SpendsAfterLease, 1),
+    (Mutant::LeaseFromReceipt, 921),
+    (Mutant::TakesAnyGrant, 4),
+    (Mutant::HidesHoldings, 0),
+    (Mutant::RestartSpendsFloor, 1),
+    (Mutant::CountsOldVotes, 1507),
+    (Mutant::VotesNeverEnd, 7),
+    (Mutant::HalfIsEnough, 1),
+    (Mutant::NewCoordinatorGivesAtOnce, 0),
+    (Mutant::TakesOldAsks, 2),
+    (Mutant::NoRest, 23),
+    (Mutant::IgnoresDrift, 233),
+    (Mutant::ForgetsLease, 0),
+    (Mutant::GivesTwice, 0),
 ];
 
 #[test]
 fn every_known_way_to_get_it_wrong_shows_at_its_seed() {
-    for (flaw, seed) in FOUND {
-        let what = shows(flaw, seed);
-        println!("{flaw:?}, seed {seed}: {what:?}");
-        assert!(what.is_some(), "{flaw:?} is not seen on the day of seed {seed}");
+    for (mutant, seed) in FOUND {
+        let what = shows(mutant, seed);
+        println!("{mutant:?}, seed {seed}: {what:?}");
+        assert!(what.is_some(), "{mutant:?} is not seen on the day of seed {seed}");
         assert_eq!(World::new(drawn(seed, 9)).play().broken, None, "without it the same day is kept");
     }
 }
@@ -146,12 +150,12 @@
 /// Looks for such seeds: `cargo test -p badgerwind-budgets --release --test schedules seeds -- --ignored --nocapture`
 #[test]
 #[ignore = "a search"]
-fn seeds_at_which_flaws_show() {
+fn seeds_at_which_mutants_show() {
     std::thread::scope(|scope| {
-        for (flaw, _) in FOUND {
+        for (mutant, _) in FOUND {
             scope.spawn(move || {
-                let first = (0..10_000).find_map(|seed| shows(flaw, seed).map(|what| (seed, what)));
-                println!("{flaw:?}: {first:?}");
+                let first = (0..10_000).find_map(|seed| shows(mutant, seed).map(|what| (seed, what)));
+                println!("{mutant:?}: {first:?}");
             });
         }
     });
--- a/crates/badgerwind-budgets/tests/world/mod.rs
+++ b/crates/badgerwind-budgets/tests/world/mod.rs
@@ -26,7 +26,7 @@
     /// All cuts are over.
     Heal,
     /// These hear of another version of the settings, with so many units.
-    Whole(Vec<usize>, u32, Unit),
+    Limit(Vec<usize>, u32, Unit),
 }
 
 #[derive(Clone, Debug)]
@@ -41,12 +41,12 @@
     pub twice: f64,
     pub delay: u64,
     pub drift: u32,
-    /// How often a member asks for votes though it hears a keeper: no safety may rest on its patience.
+    /// How often a member asks for votes though it hears a coordinator: no safety may rest on its patience.
     pub eager: f64,
     pub faults: Vec<(u64, Fault)>,
     pub end: u64,
-    pub flaw: Option<Flaw>,
-    /// What each wants of the whole, in units.
+    pub mutant: Option<Mutant>,
+    /// What each wants of the limit, in units.
     pub wants: Vec<Unit>,
 }
 
@@ -62,16 +62,16 @@
 pub struct Seen {
     /// Two owners of a unit, or a unit spent twice in a window: when and what.
     pub broken: Option<(u64, String)>,
-    /// Most units owned at an instant over the whole.
+    /// Most units owned at an instant over the limit.
     pub most_owned: f64,
-    /// Most spent within a window over the whole.
+    /// Most spent within a window over the limit.
     pub most_spent: f64,
     /// Units owned at the times asked for.
     pub owned: Vec<(u64, usize)>,
     pub messages: u64,
     pub bytes: u64,
     pub spends: u64,
-    pub reigns: u64,
+    pub leaderships: u64,
 }
 
 pub struct World {
@@ -83,7 +83,7 @@
     count: u64,
     processes: Vec<Option<Node>>,
     stopped: Vec<bool>,
-    lives: Vec<u64>,
+    incarnations: Vec<u64>,
     /// Rate of each clock in millionths, and its offset.
     clocks: Vec<(u64, u64)>,
     cuts: Vec<(Vec<usize>, Vec<usize>)>,
@@ -107,10 +107,10 @@
             drift: plan.drift,
             moves: 64,
         };
-        let whole =
-            Whole { units: plan.units, floor: plan.floor, members: plan.members as Member, rest: plan.rest };
-        let book = Book { version: 1, wholes: vec![whole] };
-        terms.check(&book.wholes).unwrap();
+        let limit =
+            Limit { units: plan.units, floor: plan.floor, members: plan.members as Member, rest: plan.rest };
+        let book = Book { version: 1, limits: vec![limit] };
+        terms.check(&book.limits).unwrap();
         let d = u64::from(plan.drift);
         let clocks = (0..plan.members)
             .map(|_| (rng.random_range(1_000_000 - d..=1_000_000 + d), rng.random_range(0..10_000_000)))
@@ -124,7 +124,7 @@
             count: 0,
             processes: (0..n).map(|_| None).collect(),
             stopped: vec![false; n],
-            lives: vec![0; n],
+            incarnations: vec![0; n],
             clocks,
             cuts: Vec::new(),
             terms,
@@ -159,18 +159,18 @@
         if self.processes[i].is_some() {
             return;
         }
-        self.lives[i] += 1;
-        let (life, now, flaw) = (self.lives[i], self.clock(i), self.plan.flaw);
+        self.incarnations[i] += 1;
+        let (incarnation, now, mutant) = (self.incarnations[i], self.clock(i), self.plan.mutant);
         let part = self.rng.random::<f64>();
         let (me, book, terms) = (i as Member, self.book.clone(), self.terms.clone());
-        let mut node = Node::new(now, (me, life), book, terms, part).with(flaw);
+        let mut node = Node::new(now, (me, incarnation), book, terms, part).with(mutant);
         node.want(0, self.plan.wants[i]);
         self.processes[i] = Some(node);
         self.stopped[i] = false;
         let (a, b) = (self.rng.random_range(0..self.terms.beat / 4), self.rng.random_range(0..50 * MS));
         let now = self.now;
-        self.at(now + a, Event::Tick(i, life));
-        self.at(now + b, Event::Spend(i, life));
+        self.at(now + a, Event::Tick(i, incarnation));
+        self.at(now + b, Event::Spend(i, incarnation));
     }
 
     fn send_all(&mut self, from: usize, to: To, message: Message) {
@@ -197,7 +197,7 @@
         }
         let copies = 1 + usize::from(self.rng.random_bool(self.plan.twice));
         for _ in 0..copies {
-            // Now and then one comes very late: after its lease, after its keeper.
+            // Now and then one comes very late: after its lease, after its coordinator.
             let late = if self.rng.random_bool(0.03) { 2500 * MS } else { 0 };
             let delay = self.rng.random_range(0..=self.plan.delay + late);
             let at = self.now + 1 + delay;
@@ -205,8 +205,8 @@
         }
     }
 
-    fn runs(&self, i: usize, life: u64) -> bool {
-        self.processes[i].is_some() && self.lives[i] == life
+    fn runs(&self, i: usize, incarnation: u64) -> bool {
+        self.processes[i].is_some() && self.incarnations[i] == incarnation
     }
 
     /// Plays to the end, or to the first broken promise.
@@ -231,27 +231,27 @@
         let now = self.now;
         match event {
             // A stopped process does what was due when it goes on.
-            Event::Tick(i, life) | Event::Spend(i, life) if !self.runs(i, life) => {}
+            Event::Tick(i, incarnation) | Event::Spend(i, incarnation) if !self.runs(i, incarnation) => {}
             Event::Tick(i, _) | Event::Spend(i, _) if self.stopped[i] => {
                 self.at(now + MS, event);
             }
             Event::Arrive(_, to, _) if self.processes[to].is_none() => {}
             Event::Arrive(_, to, _) if self.stopped[to] => self.at(now + MS, event),
-            Event::Tick(i, life) => {
+            Event::Tick(i, incarnation) => {
                 let (local, part) = (self.clock(i), self.rng.random::<f64>());
                 let eager = self.rng.random_bool(self.plan.eager);
                 let p = self.processes[i].as_mut().unwrap();
-                let before = p.reigns(local);
+                let before = p.is_coordinator(local);
                 let mut out = p.tick(local, part);
                 if eager {
-                    p.canvass(local, To::Voters, &mut out);
+                    p.request_votes(local, To::Voters, &mut out);
                 }
-                self.seen.reigns += u64::from(!before && p.reigns(local));
+                self.seen.leaderships += u64::from(!before && p.is_coordinator(local));
                 let pace = p.pace();
                 out.into_iter().for_each(|(to, message)| self.send_all(i, to, message));
-                self.at(now + pace, Event::Tick(i, life));
+                self.at(now + pace, Event::Tick(i, incarnation));
             }
-            Event::Spend(i, life) => {
+            Event::Spend(i, incarnation) => {
                 let local = self.clock(i);
                 // It would use up all that it wants of a window, and a little more.
                 for _ in 0..3 {
@@ -261,7 +261,7 @@
                     }
                 }
                 let next = self.rng.random_range(1..40 * MS);
-                self.at(now + next, Event::Spend(i, life));
+                self.at(now + next, Event::Spend(i, incarnation));
             }
             Event::Arrive(from, to, message) => self.arrive(from, to, message),
             Event::Fault(k) => self.fault(k),
@@ -271,9 +271,9 @@
     fn arrive(&mut self, from: usize, to: usize, message: Message) {
         let local = self.clock(to);
         let p = self.processes[to].as_mut().unwrap();
-        let before = p.reigns(local);
+        let before = p.is_coordinator(local);
         let answer = p.heard(local, from as Member, &message);
-        self.seen.reigns += u64::from(!before && p.reigns(local));
+        self.seen.leaderships += u64::from(!before && p.is_coordinator(local));
         if let Some(answer) = answer {
             self.send(to, from, answer);
         }
@@ -296,16 +296,16 @@
             }
             Fault::Cut(a, b) => self.cuts.push((a, b)),
             Fault::Heal => self.cuts.clear(),
-            Fault::Whole(who, version, units) => {
+            Fault::Limit(who, version, units) => {
                 if version > self.book.version {
-                    (self.book.version, self.book.wholes[0].units) = (version, units);
+                    (self.book.version, self.book.limits[0].units) = (version, units);
                 }
                 let mut book = self.book.clone();
-                (book.version, book.wholes[0].units) = (version, units);
+                (book.version, book.limits[0].units) = (version, units);
                 for i in who {
                     let local = self.clock(i);
                     if let Some(p) = &mut self.processes[i] {
-                        p.set(local, &book).expect("only the whole changes");
+                        p.set(local, &book).expect("only the limit changes");
                     }
                 }
             }
--- a/crates/badgerwind-cli/src/budgets/mod.rs
+++ b/crates/badgerwind-cli/src/budgets/mod.rs
@@ -12,7 +12,7 @@
 pub use shrink::shrink;
 
 use crate::Stop;
-use badgerwind_budgets::{Book, Member, Terms, Unit, Whole};
+use badgerwind_budgets::{Book, Limit, Member, Terms, Unit};
 use badgerwind_check::budgets::{Line, What};
 use badgerwind_gateway::fleet::{wall, FleetMember, MemberOptions};
 use badgerwind_webhook::Key;
@@ -68,7 +68,7 @@
     pub beat: u64,
     /// The bound on clocks, in millionths.
     pub drift: u32,
-    /// Members whose votes make a keeper.
+    /// Members whose votes make a lease coordinator.
     pub voters: Vec<Member>,
     /// Where each member is heard.
     pub peers: BTreeMap<Member, SocketAddr>,
@@ -86,7 +86,7 @@
     fn book(&self) -> Book {
         let (units, floor, rest) = (self.units, self.floor, self.rest);
         let members = self.peers.len() as Member;
-        Book { version: self.version, wholes: vec![Whole { units, floor, members, rest }] }
+        Book { version: self.version, limits: vec![Limit { units, floor, members, rest }] }
     }
 
     fn terms(&self) -> Terms {
@@ -147,8 +147,8 @@
         turn += 1;
         // A line bears the moment at which its matter was looked at: a stop before it is written changes nothing.
         let (floor, granted, left, now) = member.with(|node, now| {
-            let whole = &node.book().wholes[0];
-            let (floor, all) = (whole.floor_of(number), node.owned(now, 0));
+            let limit = &node.book().limits[0];
+            let (floor, all) = (limit.floor_of(number), node.owned(now, 0));
             let granted = all.only(|u| !floor.has(u));
             (floor.ranges().to_vec(), granted.ranges().to_vec(), node.until(0).saturating_sub(now), now)
         });
--- a/crates/badgerwind-gateway/src/engine.rs
+++ b/crates/badgerwind-gateway/src/engine.rs
@@ -133,7 +133,7 @@
     waiting: VecDeque<Change>,
     workers: BTreeMap<WorkerId, WorkerEntry>,
     ration: Ration,
-    /// What of the fleet's wholes is this front end's own: a module that begins is told.
+    /// What of the fleet's limits is this front end's own: a module that begins is told.
     parts: Option<Parts>,
 }
 
--- a/crates/badgerwind-gateway/src/fleet.rs
+++ b/crates/badgerwind-gateway/src/fleet.rs
@@ -58,10 +58,10 @@
 impl FleetMember {
     /// Binds its socket; nothing is said or granted before [`FleetMember::run`].
     pub fn start(options: MemberOptions) -> Result<FleetMember, MemberError> {
-        options.terms.check(&options.book.wholes)?;
+        options.terms.check(&options.book.limits)?;
         let socket =
             crate::peers::bind(options.listen).map_err(|e| MemberError::Listen(options.listen, e))?;
-        // A life is greater than the one before as long as the wall clock is; the keeper's word mends what is not.
+        // An incarnation is greater than the one before as long as the wall clock is; the coordinator's answer corrects what is not.
         let who = (options.number, wall());
         let part = StdRng::seed_from_u64(who.1).random();
         let node = Node::new(0, who, options.book.clone(), options.terms.clone(), part);
--- a/crates/badgerwind-gateway/src/serve.rs
+++ b/crates/badgerwind-gateway/src/serve.rs
@@ -85,7 +85,7 @@
         settings.runners.tls = from.runners.tls;
     }
     (settings.runners.key_file, settings.runners.line) = (from.runners.key_file, from.runners.line);
-    // Budgets begin or end with a restart; while they run, their wholes may change.
+    // Budgets begin or end with a restart; while they run, their limits may change.
     if settings.budgets.is_some() && from.budgets.is_some() {
         settings.budgets = from.budgets;
     }
--- a/crates/badgerwind-gateway/src/shares.rs
+++ b/crates/badgerwind-gateway/src/shares.rs
@@ -38,7 +38,7 @@
     here: Vec<Here>,
     told: Option<Parts>,
     rng: StdRng,
-    keeper: Option<Member>,
+    coordinator: Option<Member>,
 }
 
 pub(crate) struct Shares {
@@ -64,14 +64,15 @@
         let node = Node::new(now, me, budgets.book.clone(), budgets.terms.clone(), rng.random());
         let others = peers.peers.iter().filter_map(|(n, _)| Member::try_from(*n).ok());
         let members = Members::new(now, me, others, badgerwind_members::Terms::paced(budgets.terms.beat));
-        let here = |(whole, b): (&badgerwind_budgets::Whole, &badgerwind_settings::Budget)| Here {
-            demand: Demand::new(whole.rest, b.of == BudgetOf::Orders),
+        let here = |(limit, b): (&badgerwind_budgets::Limit, &badgerwind_settings::Budget)| Here {
+            demand: Demand::new(limit.rest, b.of == BudgetOf::Orders),
             refused: 0,
             logged: (0, 0, 0),
         };
-        let here = budgets.book.wholes.iter().zip(&budgets.budgets).map(here).collect();
+        let here = budgets.book.limits.iter().zip(&budgets.budgets).map(here).collect();
         let router = settings.router.clone();
-        let state = Mutex::new(State { budgets, router, node, members, here, told: None, rng, keeper: None });
+        let state =
+            Mutex::new(State { budgets, router, node, members, here, told: None, rng, coordinator: None });
         Some(Arc::new(Shares { clock, peers, report, metrics, state }))
     }
 
@@ -79,7 +80,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Another version of the wholes. Refused whole where it cannot follow the one that runs.
+    /// Another version of the limits. Refused as a whole where it cannot follow the one that runs.
     pub(crate) fn change(&self, next: &Budgets) -> Result<(), BadTerms> {
         let mut state = self.state();
         if next.budgets != state.budgets.budgets || next.terms != state.budgets.terms {
@@ -88,7 +89,7 @@
         let now = self.clock.now();
         state.node.set(now, &next.book)?;
         if next.book.version > state.budgets.book.version {
-            tracing::info!(version = next.book.version, "the wholes of the budgets changed");
+            tracing::info!(version = next.book.version, "the limits of the budgets changed");
             state.budgets = next.clone();
         }
         Ok(())
@@ -173,12 +174,12 @@
     fn tick(&self, pace: Duration) -> Option<Parts> {
         let mut state = self.state();
         let now = self.clock.now();
-        let State { budgets, router, node, members, here, told, rng, keeper } = &mut *state;
+        let State { budgets, router, node, members, here, told, rng, coordinator } = &mut *state;
         let words = members.tick(now, &mut |n| rng.random_range(0..n.max(1)));
         let there = members.there();
-        for (n, (here, whole)) in here.iter_mut().zip(&budgets.book.wholes).enumerate() {
+        for (n, (here, limit)) in here.iter_mut().zip(&budgets.book.limits).enumerate() {
             let owned = node.owned(now, n).len();
-            let granted = whole.granted().len();
+            let granted = limit.granted().len();
             node.want(n, here.demand.wants(now, owned, reserve(granted, there)));
         }
         let out = node.tick(now, rng.random());
@@ -186,23 +187,23 @@
             let owned = node.owned(now, n).len();
             let label = ByBudget { budget: b.name.clone() };
             self.metrics.budget_owned.get_or_create(&label).set(owned as i64);
-            self.metrics.budget_whole.get_or_create(&label).set(i64::from(budgets.book.wholes[n].units));
+            self.metrics.budget_whole.get_or_create(&label).set(i64::from(budgets.book.limits[n].units));
             let (last, again, passed) = &mut here[n].logged;
             if owned != *last {
                 *passed += 1;
             }
             if *passed > 0 && now >= *again {
-                let (of, from) = (budgets.book.wholes[n].units, *last);
+                let (of, from) = (budgets.book.limits[n].units, *last);
                 tracing::info!(budget = %b.name, owned, from, of, changes = *passed, "owned units changed");
                 (*last, *again, *passed) = (owned, now + LOG_SPAN, 0);
             }
         }
-        if node.believes() != *keeper {
-            *keeper = node.believes();
-            tracing::info!(keeper = ?*keeper, "another keeper of the budgets");
+        if node.believes() != *coordinator {
+            *coordinator = node.believes();
+            tracing::info!(coordinator = ?*coordinator, "another lease coordinator of the budgets");
         }
         self.metrics.members_there.set(there as i64);
-        self.metrics.keeper.set(i64::from(node.reigns(now)));
+        self.metrics.keeper.set(i64::from(node.is_coordinator(now)));
         // What will still count when the module is told next: a lease that ends before is not promised to it.
         let at = now + pace.as_micros() as Time;
         let parts = parts(budgets, node, at, router);
@@ -235,10 +236,10 @@
         let mut state = self.state();
         let now = self.clock.now();
         let State { budgets, node, members, here, .. } = &mut *state;
-        let reigns = node.reigns(now);
+        let is_coordinator = node.is_coordinator(now);
         let ms = |at: Time| at.saturating_sub(now) / 1000;
-        let rows: Vec<Value> = (budgets.budgets.iter().zip(&budgets.book.wholes).enumerate())
-            .map(|(n, (b, whole))| {
+        let rows: Vec<Value> = (budgets.budgets.iter().zip(&budgets.book.limits).enumerate())
+            .map(|(n, (b, limit))| {
                 let tenant = match b.of {
                     BudgetOf::Orders => None,
                     BudgetOf::Tenant(t) => Some(t),
@@ -265,11 +266,11 @@
                 json!({
                     "name": b.name,
                     "of": if tenant.is_some() { "tenant" } else { "orders" },
-                    "units": whole.units,
-                    "floor": whole.floor,
-                    "window_ms": whole.rest / 1000,
+                    "units": limit.units,
+                    "floor": limit.floor,
+                    "window_ms": limit.rest / 1000,
                     "owned": node.owned(now, n).len(),
-                    "owned_floor": whole.floor_of(members.me()).len(),
+                    "owned_floor": limit.floor_of(members.me()).len(),
                     "ranges": node.owned(now, n).ranges(),
                     "until_ms": ms(node.until(n)),
                     "wants": node.wants(n),
@@ -289,7 +290,7 @@
             "version": budgets.book.version,
             "voters": budgets.terms.voters,
             "keeper": node.believes(),
-            "reigns": reigns,
+            "reigns": is_coordinator,
             "lease_ms": budgets.terms.lease / 1000,
             "health": members.unsure(),
             "members": seen,
@@ -300,22 +301,22 @@
 
 /// A call's part of a tenant's quota within the window, in units.
 fn units_of_a_call(state: &State, n: usize, tenant: usize) -> f64 {
-    let whole = &state.budgets.book.wholes[n];
+    let limit = &state.budgets.book.limits[n];
     let quota = state.router.tenants.get(tenant).and_then(|t| t.quota_per_s).unwrap_or(0.0);
-    let calls = quota * whole.rest as f64 / 1e6;
-    f64::from(whole.units) / calls.max(1e-9)
+    let calls = quota * limit.rest as f64 / 1e6;
+    f64::from(limit.units) / calls.max(1e-9)
 }
 
 fn parts(budgets: &Budgets, node: &Node, at: Time, router: &RouterSettings) -> Parts {
     let mut parts = Parts { orders: None, tenants: vec![None; router.tenants.len()] };
-    for (n, (b, whole)) in budgets.budgets.iter().zip(&budgets.book.wholes).enumerate() {
+    for (n, (b, limit)) in budgets.budgets.iter().zip(&budgets.book.limits).enumerate() {
         let usable = node.usable(at, n) as f64;
         match b.of {
             BudgetOf::Orders => parts.orders = Some(usable),
             BudgetOf::Tenant(t) => {
                 let quota = router.tenants.get(t).and_then(|t| t.quota_per_s);
                 if let (Some(part), Some(quota)) = (parts.tenants.get_mut(t), quota) {
-                    *part = Some(quota * usable / f64::from(whole.units));
+                    *part = Some(quota * usable / f64::from(limit.units));
                 }
             }
         }
--- a/crates/badgerwind-scale/src/rows/budgets/group.rs
+++ b/crates/badgerwind-scale/src/rows/budgets/group.rs
@@ -2,7 +2,7 @@
 
 use crate::rows::load::{Peaks, Processor, SLICE};
 use crate::rows::network::{Conditions, Event, Micros, Network, MILLISECOND, SECOND};
-use badgerwind_budgets::{Book, Member, Message, Node, Terms, To, Unit, Whole};
+use badgerwind_budgets::{Book, Limit, Member, Message, Node, Terms, To, Unit};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
@@ -81,13 +81,13 @@
     pub fn new(plan: Plan) -> Group {
         let terms = terms(voters(plan.members));
         let units = (plan.members * UNITS_EACH).min(UNITS_MOST) as Unit;
-        let whole = Whole { units, floor: 0, members: plan.members as Member, rest: WINDOW };
+        let limit = Limit { units, floor: 0, members: plan.members as Member, rest: WINDOW };
         let conditions = Conditions { drift: u64::from(terms.drift), ..plan.conditions };
         let network = Network::new(conditions, plan.members, plan.seed);
         let host = |_| Host { node: None, incarnation: 0, demand_changes: 0 };
         Group {
             terms,
-            book: Book { version: 1, wholes: vec![whole; plan.budgets] },
+            book: Book { version: 1, limits: vec![limit; plan.budgets] },
             rng: StdRng::seed_from_u64(plan.seed ^ 0xb0d9e7),
             peaks: Peaks::new(&network),
             network,
@@ -181,7 +181,7 @@
     pub fn coordinator(&mut self) -> Option<usize> {
         (0..self.plan.members).find(|member| {
             let now = self.network.clock(*member);
-            self.hosts[*member].node.as_mut().is_some_and(|node| node.reigns(now))
+            self.hosts[*member].node.as_mut().is_some_and(|node| node.is_coordinator(now))
         })
     }
 
@@ -225,7 +225,7 @@
             return;
         }
         self.hosts[member].demand_changes = now + DEMAND_CHANGES;
-        let units = usize::from(self.book.wholes[0].units);
+        let units = usize::from(self.book.limits[0].units);
         let even = units.div_ceil(self.plan.members);
         for budget in 0..self.plan.budgets {
             let quarters = self.rng.random_range(DEMAND_QUARTERS.0..=DEMAND_QUARTERS.1);
@@ -270,10 +270,10 @@
 /// A message's kind, for counts.
 fn kind(message: &Message) -> &'static str {
     match message {
-        Message::Canvass { .. } => "canvass",
+        Message::RequestVote { .. } => "request-vote",
         Message::Vote { .. } => "vote",
         Message::Ask { .. } => "ask",
         Message::Grant { .. } => "grant",
-        Message::Outlived { .. } => "outlived",
+        Message::Superseded { .. } => "superseded",
     }
 }
--- a/crates/badgerwind-settings/src/read.rs
+++ b/crates/badgerwind-settings/src/read.rs
@@ -418,7 +418,7 @@
         let what = format!("{} divides again what another divides", all[n].text("name"));
         r.add(one, what, "name each whole once");
     }
-    let whole = |one: &Checked<'_>| badgerwind_budgets::Whole {
+    let limit = |one: &Checked<'_>| badgerwind_budgets::Limit {
         units: one.whole("units") as u16,
         floor: one.whole("floor") as u16,
         members: front_ends.min(65_535) as u16,
@@ -432,15 +432,15 @@
         drift: b.whole("drift") as u32,
         moves: b.whole("moves") as u16,
     };
-    let wholes: Vec<_> = all.iter().map(whole).collect();
-    if let Err(e) = terms.check(&wholes) {
+    let limits: Vec<_> = all.iter().map(limit).collect();
+    if let Err(e) = terms.check(&limits) {
         let text = e.to_string();
         let (what, right) = text.split_once("; ").unwrap_or((&text, "change it"));
         r.add(b, what.into(), right);
     }
     let names = all.iter().zip(of).map(|(one, of)| Budget { name: one.string("name"), of }).collect();
     let version = b.whole("version") as u32;
-    Budgets { terms, book: badgerwind_budgets::Book { version, wholes }, budgets: names, line: b.line() }
+    Budgets { terms, book: badgerwind_budgets::Book { version, limits }, budgets: names, line: b.line() }
 }
 
 fn budget_of(
--- a/crates/badgerwind-settings/src/typed.rs
+++ b/crates/badgerwind-settings/src/typed.rs
@@ -262,7 +262,7 @@
 pub struct Budgets {
     /// On what terms.
     pub terms: badgerwind_budgets::Terms,
-    /// The wholes, under their version.
+    /// The limits, under their version.
     pub book: badgerwind_budgets::Book,
     /// What each whole is of, in the same order.
     pub budgets: Vec<Budget>,
--- a/crates/badgerwind-settings/tests/documents.rs
+++ b/crates/badgerwind-settings/tests/documents.rs
@@ -122,14 +122,14 @@
     assert_eq!(b.budgets[0], Budget { name: "fetches".into(), of: BudgetOf::Orders });
     assert_eq!(b.budgets[1].of, BudgetOf::Tenant(0));
     assert_eq!((b.book.version, b.terms.voters.clone(), b.terms.lease), (4, vec![0, 1], 3_000_000));
-    let whole = &b.book.wholes[0];
-    assert_eq!((whole.units, whole.floor, whole.members, whole.rest), (30, 2, 3, 10_000_000));
+    let limit = &b.book.limits[0];
+    assert_eq!((limit.units, limit.floor, limit.members, limit.rest), (30, 2, 3, 10_000_000));
 }
 
 #[test]
 fn each_fault_of_budgets_is_named_with_its_remedy() {
     for (from, to, want) in [
-        ("units=\"30\"", "units=\"5\"", "floors of 3 members at 2 each exceed the whole of 5 units; a smaller floor"),
+        ("units=\"30\"", "units=\"5\"", "floors of 3 members at 2 each exceed the limit of 5 units; a smaller floor"),
         ("beat=\"1s\"", "beat=\"2s\"", "leaves no room for three in a lease"),
         ("<voter number=\"1\"/>", "<voter number=\"7\"/>", "<voter>: number 7 is none of the fleet's"),
         ("<voter number=\"1\"/>", "<voter number=\"0\"/>", "<voter>: number \"0\" stands twice"),
