Rows of the register: members of a steady group start one after another

Starts of a steady group are now spread over several beats; register-start still starts all at once.

--- a/crates/badgerwind-scale/src/rows/register.rs
+++ b/crates/badgerwind-scale/src/rows/register.rs
@@ -11,6 +11,8 @@
 /// What the link of `badgerwind-fleet` adds to a message: 4 bytes of its length, and a sealed piece's length (2) and tag (16).
 pub const FRAME: f64 = 22.0;
 
+/// Time over which the starts of a steady group's members are spread: several beats.
+const STARTS: Micros = 2 * SECOND;
 /// Longest time in which all members must hold a lease after the start.
 const SETTLE: Micros = 60 * SECOND;
 /// Time after that before anything is counted.
@@ -45,7 +47,13 @@
 pub fn settled(plan: Plan, row: &'static str) -> Result<Group, ScaleError> {
     let members = plan.members;
     let mut group = Group::new(plan);
-    group.start(&group.all());
+    let voters = group.voters();
+    group.start(&voters);
+    // One after another over several beats: members that start together would renew together for ever.
+    for follower in group.followers() {
+        group.start(&[follower]);
+        group.run(STARTS / members as Micros);
+    }
     let mut passed = 0;
     while group.leased() < members {
         if passed >= SETTLE {
