--- a/crates/badgerwind-scale/src/rows/mod.rs
+++ b/crates/badgerwind-scale/src/rows/mod.rs
@@ -1,13 +1,16 @@
 //! All rows, one module a part of the product.
 
+pub mod budgets;
 pub mod call_counts;
 pub mod cold_starts;
 pub mod front_end;
 pub mod hard_cases;
 pub mod list_frames;
 pub mod lists;
+pub mod load;
 pub mod members;
 pub mod network;
+pub mod register;
 pub mod router;
 pub mod workers;
 pub mod zones;
@@ -24,6 +27,8 @@
     all.extend(cold_starts::rows());
     all.extend(members::rows());
     all.extend(zones::rows());
+    all.extend(register::rows());
+    all.extend(budgets::rows());
     all
 }
 
