Heap meter: the growth of a reallocation counts once

stats_alloc adds a reallocation's growth to the allocated bytes and its shrinking to the freed ones; the meter added their difference once more, so that a grown vector counted nearly twice. A test compares the meter with a vector's capacity; it fails with the former sum.

--- a/crates/badgerwind-scale/src/cost.rs
+++ b/crates/badgerwind-scale/src/cost.rs
@@ -35,8 +35,9 @@
     /// Bytes still allocated of those taken since the start; 0 where more was freed than taken.
     pub fn bytes(&self) -> u64 {
         let change = self.0.change();
+        // What a reallocation adds or frees is in these two already; `bytes_reallocated` is the sum of both.
         let grown = change.bytes_allocated as i64 - change.bytes_deallocated as i64;
-        (grown + change.bytes_reallocated as i64).max(0) as u64
+        grown.max(0) as u64
     }
 
     /// Calls to the allocator that took memory since the start.
