Control service: questions are read without I/O, and messages are encoded apart from sockets

Reading a question and the answer to it move into a module without I/O; a request and a response of HTTP have an encode of their own, which the sockets use as well. Nothing changes on the wire.

--- a/crates/badgerwind-control/src/lib.rs
+++ b/crates/badgerwind-control/src/lib.rs
@@ -2,6 +2,7 @@
 //! content. Which front end is offered what is decided by the waves of `badgerwind-config`.
 
 pub mod folder;
+pub mod question;
 pub mod service;
 
 pub use service::{serve, FrontStatus, KindStatus, Pin, Status};
--- a/crates/badgerwind-control/src/service.rs
+++ b/crates/badgerwind-control/src/service.rs
@@ -1,10 +1,11 @@
 //! The service on a socket: questions held open until there is an answer, status, pins.
 
 use crate::folder;
+use crate::question::Question;
 use badgerwind_config::client::Report;
 use badgerwind_config::parts::Kind;
 use badgerwind_config::waves::{Rules, Stage, Waves};
-use badgerwind_config::wire::{ControlPlane, DiscoveryRequest, DiscoveryResponse, Health, Resource};
+use badgerwind_config::wire::{DiscoveryRequest, Health};
 use badgerwind_http::{Conn, Limits, Response};
 use serde::{Deserialize, Serialize};
 use smol::net::{TcpListener, TcpStream};
@@ -16,9 +17,9 @@
 use std::time::{Duration, Instant};
 
 /// How often the folder is looked at, and waves go on.
-const LOOK: Duration = Duration::from_millis(50);
+pub const LOOK: Duration = Duration::from_millis(50);
 /// How often a question held open looks whether anything has changed.
-const HELD: Duration = Duration::from_millis(10);
+pub const HELD: Duration = Duration::from_millis(10);
 /// The longest time for which a question is held open.
 const MOST_WAIT: Duration = Duration::from_secs(60);
 /// Connections at once.
@@ -174,16 +175,11 @@
     /// A question: its word about the front end is taken in at once, its answer may take a while.
     async fn ask(&self, kind: Kind, request: &DiscoveryRequest, wait: Duration) -> Response {
         let node = &request.node;
-        if node.id.is_empty() || node.id.len() > 256 {
-            return bad("node.id must be 1 to 256 bytes");
-        }
-        let running = match request.version_info.as_str() {
-            "" => None,
-            text => match text.parse::<u64>() {
-                Ok(n) => Some(n),
-                Err(_) => return bad("version_info must be empty or a whole number"),
-            },
+        let question = match Question::read(kind, request) {
+            Ok(question) => question,
+            Err(e) => return bad(&e.to_string()),
         };
+        let running = question.running;
         let answered = (!request.response_nonce.is_empty()).then_some(&request.error_detail);
         match answered {
             Some(Some(why)) => {
@@ -202,13 +198,7 @@
                 seen = Some(changes);
                 if let Some((version, text)) = self.lock().waves.offer(&node.id, kind, running) {
                     let nonce = self.nonces.fetch_add(1, Ordering::Relaxed);
-                    return json(&DiscoveryResponse {
-                        version_info: version.to_string(),
-                        resources: vec![Resource { kind: kind.url(), value: text.to_string() }],
-                        type_url: kind.url(),
-                        nonce: format!("{}-{nonce}", self.name),
-                        control_plane: Some(ControlPlane { identifier: self.name.clone() }),
-                    });
+                    return json(&question.response(version, &text, &self.name, nonce));
                 }
             }
             if Instant::now() >= until {
--- a/crates/badgerwind-http/src/client.rs
+++ b/crates/badgerwind-http/src/client.rs
@@ -55,7 +55,8 @@
 }
 
 impl Exchange {
-    fn bytes(&self, host: SocketAddr) -> Vec<u8> {
+    /// The request as it goes out to a server of this address.
+    pub fn encode(&self, host: SocketAddr) -> Vec<u8> {
         let mut head = format!("{} {} HTTP/1.1\r\nhost: {host}\r\n", self.method, self.target);
         for (name, value) in &self.headers {
             head.extend([name, ": ", value, "\r\n"]);
@@ -214,7 +215,7 @@
     pub async fn send(self, request: &Exchange) -> Result<Answer<'a>, ExchangeError> {
         let Way { pool, mut stream, place } = self;
         let broke = |e: std::io::Error| ExchangeError::Reset(e.to_string());
-        stream.write_all(&request.bytes(pool.address)).await.map_err(broke)?;
+        stream.write_all(&request.encode(pool.address)).await.map_err(broke)?;
         stream.flush().await.map_err(broke)?;
         let mut buf = Vec::new();
         let mut end = head::HeadEnd::default();
--- a/crates/badgerwind-http/src/server.rs
+++ b/crates/badgerwind-http/src/server.rs
@@ -101,6 +101,11 @@
         self.headers.push((name, value.into()));
         self
     }
+    /// The answer as it goes out; `keep`: the connection goes on after it.
+    pub fn encode(&self, keep: bool) -> Vec<u8> {
+        let head = head_bytes(self.status, &self.headers, Some(self.body.len()), keep);
+        [&head[..], &self.body].concat()
+    }
 }
 
 /// Bytes read at once: while a message comes, and while none may.
@@ -247,8 +252,7 @@
 
     /// Writes an answer; `keep`: the connection goes on after it.
     pub async fn respond(&mut self, response: &Response, keep: bool) -> Result<(), ServeError> {
-        let head = head_bytes(response.status, &response.headers, Some(response.body.len()), keep);
-        self.write(&[&head[..], &response.body].concat()).await // one segment where it fits
+        self.write(&response.encode(keep)).await // one segment where it fits
     }
 
     async fn write(&mut self, bytes: &[u8]) -> Result<(), ServeError> {
