--- a/crates/badgerwind-scale/src/rows/mod.rs
+++ b/crates/badgerwind-scale/src/rows/mod.rs
@@ -3,6 +3,9 @@
 pub mod budgets;
 pub mod call_counts;
 pub mod cold_starts;
+pub mod config;
+pub mod config_in_force;
+pub mod control;
 pub mod front_end;
 pub mod hard_cases;
 pub mod list_frames;
@@ -29,6 +32,9 @@
     all.extend(zones::rows());
     all.extend(register::rows());
     all.extend(budgets::rows());
+    all.extend(config::rows());
+    all.extend(config_in_force::rows());
+    all.extend(control::rows());
     all
 }
 
