--- a/crates/badgerwind/src/state.rs
+++ b/crates/badgerwind/src/state.rs
@@ -105,7 +105,8 @@
     pub load: Shared,
     /// As a whole, and by kind of traffic.
     pub whole: Health,
-    pub kinds: BTreeMap<Kind, Health>,
+    /// Boxed, since most have two, and a node of the map has room for eleven.
+    pub kinds: BTreeMap<Kind, Box<Health>>,
     pub full_until: Time,
     pub no_load_until: Time,
     /// Most own attempts out, and when it was last cut.
--- a/crates/badgerwind/src/sweep.rs
+++ b/crates/badgerwind/src/sweep.rs
@@ -91,7 +91,7 @@
             let a = &mut o.attempts[n];
             let Some(w) = self.m.workers.get(&a.worker) else { continue };
             let silent = |h: &Health| h.tripped && h.heard <= a.sent;
-            let gone = silent(&w.whole) || kinds.iter().any(|k| w.kinds.get(k).is_some_and(silent));
+            let gone = silent(&w.whole) || kinds.iter().any(|k| w.kinds.get(k).is_some_and(|h| silent(h)));
             if !a.out || a.called_off || !gone || now < a.sent + a.expected / 2 {
                 continue;
             }
