Rows of the configuration stream: client, replay, in force, control service, bad hours

Hollow front ends run the real client and messages, hollow control machines the real waves and questions, over simulated regions; tests bound messages, bytes and versions, and two mutants (acknowledgements that name all versions, a service that offers every version missed) are shown to fail the same checks. One test holds hollow bytes within 3% of those of ten real processes.

--- a/crates/badgerwind-scale/src/lib.rs
+++ b/crates/badgerwind-scale/src/lib.rs
@@ -2,6 +2,7 @@
 //! a simulated network, and the slopes of what they cost are fitted, printed and drawn. Each row of
 //! `docs/CAPACITY.md` is one [`row::Row`], printed by one command with a fixed seed.
 
+pub mod config_world;
 pub mod cost;
 pub mod error;
 pub mod fit;
--- a/crates/badgerwind-scale/src/rows/mod.rs
+++ b/crates/badgerwind-scale/src/rows/mod.rs
@@ -1,11 +1,23 @@
 //! All rows, one module a part of the product.
 
+pub mod config;
+pub mod config_in_force;
+pub mod control;
+
 use crate::error::ScaleError;
 use crate::row::Row;
 
 /// Every row, in the page's order.
 pub fn all() -> Vec<Box<dyn Row>> {
-    Vec::new()
+    vec![
+        Box::new(config::ConfigClient),
+        Box::new(config::ConfigReplay),
+        Box::new(config_in_force::ConfigInForce),
+        Box::new(control::ConfigService),
+        Box::new(control::MachineLost),
+        Box::new(control::ConfigRestart),
+        Box::new(control::ConfigRejoin),
+    ]
 }
 
 /// The row of this name.
