--- a/crates/badgerwind-cli/tests/rig/mod.rs
+++ b/crates/badgerwind-cli/tests/rig/mod.rs
@@ -45,6 +45,8 @@
     pub fenced: bool,
     /// Follows control services there, under this name.
     pub control: Option<(String, Vec<SocketAddr>)>,
+    /// How long a control service may hold its questions.
+    pub control_wait: &'static str,
     /// Has this folder, which another had before.
     pub folder: Option<tempfile::TempDir>,
     /// The stand-in runners are met under TLS.
@@ -91,6 +93,7 @@
             files: vec![],
             fenced: false,
             control: None,
+            control_wait: "1s",
             folder: None,
             beside: None,
         }
@@ -265,8 +268,9 @@
         }
         if let Some((name, services)) = &plan.control {
             let service: String = services.iter().map(|a| format!("<service address=\"{a}\"/>")).collect();
+            let control_wait = plan.control_wait;
             let control = format!(
-                "<control name=\"{name}\" keep=\"kept/config.bwc\" wait=\"1s\" retry=\"20ms\" most-retry=\"200ms\" \
+                "<control name=\"{name}\" keep=\"kept/config.bwc\" wait=\"{control_wait}\" retry=\"20ms\" most-retry=\"200ms\" \
                  stage=\"500ms\">{service}</control><stop"
             );
             text = text.replacen("<stop", &control, 1);
