--- a/crates/badgerwind-scale/src/rows/config_in_force.rs
+++ b/crates/badgerwind-scale/src/rows/config_in_force.rs
@@ -30,6 +30,9 @@
 /// Time of a replay with 16,000 workers, in microseconds; measured by the row `config-replay`.
 const LONG_REPLAY: u64 = 2_250_000;
 
+/// Fleets above this size are played with one version alone: many versions take minutes there.
+const MOST_FOR_MANY: u64 = 1_000;
+
 const fn metric(name: &'static str, unit: &'static str) -> Metric {
     Metric { name, unit }
 }
@@ -170,6 +173,9 @@
         (names.one_all, one.seconds(1.0)),
         (names.one_share, one.share_within(WANTED)),
     ];
+    if front_ends > MOST_FOR_MANY {
+        return Ok(measured(figures));
+    }
     let world = burst(plan)?;
     figures.push((names.burst_share, Delays::of(&world, front_ends, false).share_within(WANTED)));
     figures.push((names.burst_last, Delays::of(&world, front_ends, true).seconds(1.0)));
@@ -177,7 +183,11 @@
     let delays = Delays::of(&day(plan)?, front_ends, false);
     figures.push((names.day_share, delays.share_within(WANTED)));
     figures.push((names.day_ever, delays.share_ever()));
-    Ok(figures.into_iter().map(|(metric, value)| Measurement { metric, value }).collect())
+    Ok(measured(figures))
+}
+
+fn measured(figures: Vec<(Metric, f64)>) -> Vec<Measurement> {
+    figures.into_iter().map(|(metric, value)| Measurement { metric, value }).collect()
 }
 
 impl ConfigInForce {
@@ -220,7 +230,7 @@
     }
 
     fn sizes(&self) -> &'static [u64] {
-        &[10, 30, 100, 300, 1_000, 3_000]
+        &[10, 30, 100, 300, 1_000, 3_000, 11_000]
     }
 
     fn planned(&self) -> u64 {
