A call decided in the turn in which its executor went opens no connection there

Seen by the new test of newcomers: a call that waited for its turn while the board told that its executor was gone was still handed to that executor. Something else was out there, so that the executor was still known; a new connection was opened to its address, where another process may listen, and within the drain's grace the call was written to it. The same way was open to a call taken back from a broken connection. Ruled out: standing connections (they are retired) and those coming up (closed unused). Change: executors.rs, put, sends nothing more to one that is gone; it ends as moot and the module decides again.

--- a/crates/badgerwind-gateway/src/platform/executors.rs
+++ b/crates/badgerwind-gateway/src/platform/executors.rs
@@ -177,6 +177,9 @@
     /// heard of the executor since something was handed over ([`Reach`]), a new connection shows first that it is there: on an
     /// old one silence would prove nothing.
     fn put(&self, shell: &Rc<Shell>, now: Time, worker: WorkerId, task: Task<Out>, anew: bool) {
+        if self.is_gone(worker) {
+            return shell.unsent(worker, task, Outcome::Moot);
+        }
         // What must not run twice is lost with its connection; the others are tried again.
         let once = matches!(&task, Task::Attempt { content, .. } if shell.once(&content.content));
         let together = self.sharing.borrow().together(once);
@@ -208,6 +211,12 @@
         }
     }
 
+    /// Whether an executor is gone of which something is still out. Another process may listen at its address by now, so
+    /// nothing more is sent there.
+    fn is_gone(&self, worker: WorkerId) -> bool {
+        self.all.borrow().get(&worker).is_some_and(|e| e.gone)
+    }
+
     /// A standing connection on which nothing is, or that may be shared.
     fn standing(
         &self,
--- a/crates/badgerwind-standins/src/platform/door.rs
+++ b/crates/badgerwind-standins/src/platform/door.rs
@@ -42,6 +42,11 @@
         knocking(self.address)
     }
 
+    /// The local ports of these connections.
+    pub fn pending_ports(&self) -> Vec<u16> {
+        ports_to(self.address, SYN_SENT)
+    }
+
     /// Opens it: the next knock is heard. What had filled the queue is gone.
     pub fn open(self) -> io::Result<TcpListener> {
         for _ in &self.fillers {
@@ -52,13 +57,28 @@
     }
 }
 
-/// Connections that knock at an address: the system has sent their first word and had none back (state 02 of `/proc/net/tcp`).
+/// Connections that knock at an address.
 pub fn knocking(at: SocketAddr) -> usize {
+    ports_to(at, SYN_SENT).len()
+}
+
+/// The local ports of established connections to an address.
+pub fn established_ports(at: SocketAddr) -> Vec<u16> {
+    ports_to(at, ESTABLISHED)
+}
+
+/// States of `/proc/net/tcp`.
+const ESTABLISHED: &str = "01";
+const SYN_SENT: &str = "02";
+
+/// The local ports of connections to an address that are in this state.
+fn ports_to(at: SocketAddr, state: &str) -> Vec<u16> {
     let text = std::fs::read_to_string("/proc/net/tcp").unwrap_or_default();
-    let port = format!(":{:04X}", at.port());
-    let knocks = |l: &&str| {
-        let mut words = l.split_whitespace().skip(2);
-        words.next().is_some_and(|to| to.ends_with(&port)) && words.next() == Some("02")
+    let port = |word: &str| u16::from_str_radix(word.rsplit(':').next()?, 16).ok();
+    let local_port = |line: &str| {
+        let mut words = line.split_whitespace().skip(1);
+        let (local, remote, is) = (words.next()?, words.next()?, words.next()?);
+        (port(remote) == Some(at.port()) && is == state).then(|| port(local))?
     };
-    text.lines().filter(knocks).count()
+    text.lines().filter_map(local_port).collect()
 }
--- a/crates/badgerwind-standins/src/platform/executor.rs
+++ b/crates/badgerwind-standins/src/platform/executor.rs
@@ -14,6 +14,8 @@
 pub struct Seen {
     /// The connection, counted from 0.
     pub connection: usize,
+    /// The port that it comes from.
+    pub from: u16,
     /// Its word: `FN`, `KILL`, `SPAWN` ...
     pub word: String,
     /// Id or tag.
@@ -174,6 +176,7 @@
     // Only a delay is lost where these are not to be had.
     let _ = (stream.set_nodelay(true), stream.set_write_timeout(Some(LONG)));
     let Ok(write) = stream.try_clone() else { return };
+    let Ok(from) = stream.peer_addr().map(|a| a.port()) else { return };
     let write = Arc::new(Mutex::new(write));
     ways.lock().unwrap_or_else(PoisonError::into_inner).insert(connection, write.clone());
     for line in BufReader::new(stream).split(b'\n') {
@@ -181,7 +184,7 @@
         let Ok(line) = serde_json::from_slice::<Value>(&line) else { return };
         let text = |name: &str| line[name].as_str().unwrap_or("").to_owned();
         let (word, req) = (text("type"), text("req"));
-        let s = Seen { connection, word, req, line, at: Instant::now() };
+        let s = Seen { connection, from, word, req, line, at: Instant::now() };
         seen.lock().unwrap_or_else(PoisonError::into_inner).push(s.clone());
         let (script, write, ways) = (script.clone(), write.clone(), ways.clone());
         std::thread::spawn(move || {
--- a/crates/badgerwind-standins/src/platform/mod.rs
+++ b/crates/badgerwind-standins/src/platform/mod.rs
@@ -2,6 +2,7 @@
 //! test. On threads of their own and blocking sockets, so that they share no code of I/O with what they stand against.
 
 pub mod board;
+pub mod connect_flood;
 pub mod door;
 pub mod executor;
 pub mod web;
