--- a/crates/badgerwind-fleet/src/disk.rs
+++ b/crates/badgerwind-fleet/src/disk.rs
@@ -1,7 +1,7 @@
 //! A voter's disk: vote, log and snapshot in an embedded store (`redb`: each write is one transaction, on the disk when it returns,
 //! whole or not at all).
 
-use badgerwind_register::{BadKept, Kept, Write};
+use badgerwind_register::{VoterStorage, VoterStorageError, Write};
 use redb::{Database, Durability, ReadableTable, TableDefinition};
 use std::panic::{catch_unwind, AssertUnwindSafe};
 use std::path::{Path, PathBuf};
@@ -31,7 +31,7 @@
     Form(PathBuf),
     /// What is there cannot be what a voter wrote.
     #[error("{0}: {1}")]
-    Damaged(PathBuf, BadKept),
+    Damaged(PathBuf, VoterStorageError),
     /// The store's own checks stopped at it: cut off, or written over.
     #[error("{0}: the file is cut off or damaged; take this voter out of the voters and add it anew with a new file")]
     Torn(PathBuf),
@@ -46,14 +46,14 @@
     }
 
     /// Makes a voter's disk with what it begins with.
-    pub fn create(path: &Path, kept: &Kept) -> Result<Disk, DiskError> {
+    pub fn create(path: &Path, storage: &VoterStorage) -> Result<Disk, DiskError> {
         if path.exists() {
             return Err(DiskError::Present(path.to_owned()));
         }
         let store = Database::create(path).map_err(|e| Disk::failed(path)(e.into()))?;
         let disk = Disk { store, path: path.to_owned() };
         disk.transaction(|log, state| {
-            let first = postcard::to_allocvec(&kept.first()).unwrap_or_default();
+            let first = postcard::to_allocvec(&storage.first()).unwrap_or_default();
             state.insert("form", FORM)?;
             state.insert("snapshot", first.as_slice())?;
             log.retain(|_, _| false)?;
@@ -63,7 +63,7 @@
     }
 
     /// Opens one, and reads what the voter must not have forgotten.
-    pub fn open(path: &Path) -> Result<(Disk, Kept), DiskError> {
+    pub fn open(path: &Path) -> Result<(Disk, VoterStorage), DiskError> {
         if !path.exists() {
             return Err(DiskError::Missing(path.to_owned()));
         }
@@ -72,7 +72,7 @@
             .unwrap_or_else(|_| Err(DiskError::Torn(path.to_owned())))
     }
 
-    fn read(path: &Path) -> Result<(Disk, Kept), DiskError> {
+    fn read(path: &Path) -> Result<(Disk, VoterStorage), DiskError> {
         let failed = Disk::failed(path);
         let store = Database::open(path).map_err(|e| failed(e.into()))?;
         let read = store.begin_read().map_err(|e| failed(e.into()))?;
@@ -96,10 +96,11 @@
             let (_, bytes) = row.map_err(|e| failed(e.into()))?;
             entries.push(postcard::from_bytes(bytes.value()).map_err(|_| form())?);
         }
-        let kept = Kept::read(snapshot, hard, entries).map_err(|e| DiskError::Damaged(path.to_owned(), e))?;
+        let storage = VoterStorage::read(snapshot, hard, entries)
+            .map_err(|e| DiskError::Damaged(path.to_owned(), e))?;
         drop((state, log));
         drop(read);
-        Ok((Disk { store, path: path.to_owned() }, kept))
+        Ok((Disk { store, path: path.to_owned() }, storage))
     }
 
     fn transaction(
--- a/crates/badgerwind-fleet/src/member.rs
+++ b/crates/badgerwind-fleet/src/member.rs
@@ -7,7 +7,8 @@
 use arc_swap::ArcSwap;
 use async_channel::{Receiver, Sender};
 use badgerwind_register::{
-    BadTerms, Event, Index, Input, Life, Member, Message, Node, Output, Part, Refused, Setup, Terms, Time,
+    BadTerms, Event, Incarnation, Index, Input, Member, Message, Node, Output, Part, Refused, Setup, Terms,
+    Time,
 };
 use badgerwind_webhook::Key;
 use futures_lite::FutureExt;
@@ -88,11 +89,11 @@
     /// Whom it takes for leader.
     pub leader: Option<Member>,
     /// Living members and their lives.
-    pub living: BTreeMap<Member, Life>,
+    pub living: BTreeMap<Member, Incarnation>,
 }
 
 enum Ask {
-    Say(Vec<u8>, Sender<Result<(Life, u64), Refused>>),
+    Announce(Vec<u8>, Sender<Result<(Incarnation, u64), Refused>>),
     Leave,
 }
 
@@ -129,8 +130,8 @@
 pub struct Nothing;
 
 impl Part for Nothing {
-    fn said(&mut self, _: Index, _: (Member, Life), _: &[u8]) {}
-    fn over(&mut self, _: Index, _: (Member, Life)) {}
+    fn announced(&mut self, _: Index, _: (Member, Incarnation), _: &[u8]) {}
+    fn ended(&mut self, _: Index, _: (Member, Incarnation)) {}
     fn save(&self) -> Vec<u8> {
         Vec::new()
     }
@@ -154,8 +155,8 @@
         let setup = Setup { me, zone, seed: u64::from_be_bytes(seed), terms: terms.clone() };
         let (node, disk) = match &options.disk {
             Some(path) => {
-                let (disk, kept) = Disk::open(path)?;
-                (Node::voter(clock.now(), setup, kept, part)?, Some(Arc::new(disk)))
+                let (disk, storage) = Disk::open(path)?;
+                (Node::voter(clock.now(), setup, storage, part)?, Some(Arc::new(disk)))
             }
             None if terms.voters.contains(&me) => return Err(MemberError::NoDisk(me)),
             None => (Node::follower(setup, part)?, None),
@@ -195,13 +196,13 @@
         self.clock.now()
     }
 
-    /// The life in which an effect may be done at this moment. The number goes with the effect.
-    pub fn alive(&self) -> Option<Life> {
+    /// The incarnation in which an effect may be done at this moment. The number goes with the effect.
+    pub fn alive(&self) -> Option<Incarnation> {
         self.cell.alive(self.clock.now())
     }
 
     /// The same with the moment at which it was looked at.
-    pub fn alive_at(&self) -> (Option<Life>, Time) {
+    pub fn alive_at(&self) -> (Option<Incarnation>, Time) {
         let now = self.clock.now();
         (self.cell.alive(now), now)
     }
@@ -211,16 +212,16 @@
         self.view.load_full()
     }
 
-    /// Says something to the part: under way from here, if it is taken. Waits for the member's thread alone.
-    pub async fn say(&self, bytes: Vec<u8>) -> Result<(Life, u64), Refused> {
+    /// Announces something to the part: under way from here, if it is taken. Waits for the member's thread alone.
+    pub async fn announce(&self, bytes: Vec<u8>) -> Result<(Incarnation, u64), Refused> {
         let (tell, told) = async_channel::bounded(1);
-        if self.asks.send(Ask::Say(bytes, tell)).await.is_err() {
+        if self.asks.send(Ask::Announce(bytes, tell)).await.is_err() {
             return Err(Refused::NotLiving);
         }
         told.recv().await.unwrap_or(Err(Refused::NotLiving))
     }
 
-    /// This process goes: its life is over by its own word, and from now on it does nothing in it.
+    /// This process goes: its incarnation has ended by its own record, and from now on it does nothing in it.
     pub fn leave(&self) {
         self.cell.end();
         let _ = self.asks.try_send(Ask::Leave); // full: its lease will run out
@@ -289,8 +290,9 @@
                 // What was not written must not be answered for: the voter ends, and may start again with its disk.
                 Next::Written(Err(e)) => break Some(e.into()),
                 Next::Asked(Ask::Leave) => self.node.leave(now, &mut out),
-                Next::Asked(Ask::Say(bytes, tell)) => {
-                    let _ = tell.try_send(self.node.say(now, bytes, &mut out)); // whoever asked may have gone
+                Next::Asked(Ask::Announce(bytes, tell)) => {
+                    let _ = tell.try_send(self.node.announce(now, bytes, &mut out));
+                    // whoever asked may have gone
                 }
                 Next::Due => {
                     due = Instant::now() + self.tick;
@@ -318,7 +320,10 @@
                     Output::Event(entry, event) => self.watch.event(now, entry, &event),
                     Output::Lost(0) => {}
                     Output::Lost(words) => {
-                        tracing::warn!(words, "this member's life is over; words did not stand")
+                        tracing::warn!(
+                            words,
+                            "this member's incarnation has ended; announcements did not stand"
+                        )
                     }
                     Output::TooNew(at) => ended = Some(MemberError::TooNew(at)),
                 }
@@ -335,14 +340,14 @@
 
     fn show(&mut self, now: Time) {
         match self.node.alive(now) {
-            Some(life) => self.cell.set(life, self.node.until()),
+            Some(incarnation) => self.cell.set(incarnation, self.node.until()),
             None => self.cell.end(),
         }
         let (leads, leader, _) = self.node.view();
         let applied = self.node.ledger().applied();
         if std::mem::replace(&mut self.shown, (applied, leads, leader)) != (applied, leads, leader) {
             let members = self.node.ledger().members().iter();
-            let living = members.filter(|(_, s)| !s.over).map(|(m, s)| (*m, s.life)).collect();
+            let living = members.filter(|(_, s)| !s.ended).map(|(m, s)| (*m, s.incarnation)).collect();
             self.view.store(Arc::new(View { applied, leads, leader, living }));
         }
     }
--- a/crates/badgerwind-fleet/tests/disks.rs
+++ b/crates/badgerwind-fleet/tests/disks.rs
@@ -3,7 +3,7 @@
 use badgerwind_fleet::cell::LifeCell;
 use badgerwind_fleet::disk::{Disk, DiskError};
 use badgerwind_fleet::member::{begin, Nothing};
-use badgerwind_register::{Input, Kept, Node, Output, Setup, Terms};
+use badgerwind_register::{Input, Node, Output, Setup, Terms, VoterStorage};
 use std::path::Path;
 
 fn terms() -> Terms {
@@ -11,9 +11,9 @@
 }
 
 /// A voter by itself that begins to lead, and has a life: what it wrote, each write on the disk.
-fn lives(disk: &Disk, kept: Kept) -> u64 {
+fn lives(disk: &Disk, storage: VoterStorage) -> u64 {
     let setup = Setup { me: 0, zone: 0, seed: 3, terms: terms() };
-    let mut node = Node::voter(0, setup, kept, Nothing).unwrap();
+    let mut node = Node::voter(0, setup, storage, Nothing).unwrap();
     let mut now = 0;
     let mut out = Vec::new();
     while node.alive(now).is_none() {
@@ -35,12 +35,12 @@
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("register");
     begin(&path, &terms()).unwrap();
-    let (disk, kept) = Disk::open(&path).unwrap();
-    let first = lives(&disk, kept);
+    let (disk, storage) = Disk::open(&path).unwrap();
+    let first = lives(&disk, storage);
     drop(disk);
-    let (disk, kept) = Disk::open(&path).unwrap();
+    let (disk, storage) = Disk::open(&path).unwrap();
     // It leads anew, ends the life of before and begins another.
-    assert!(lives(&disk, kept) > first);
+    assert!(lives(&disk, storage) > first);
 }
 
 #[test]
@@ -71,11 +71,11 @@
     let folder = tempfile::tempdir().unwrap();
     let path = folder.path().join("register");
     begin(&path, &terms()).unwrap();
-    let (disk, kept) = Disk::open(&path).unwrap();
-    lives(&disk, kept);
+    let (disk, storage) = Disk::open(&path).unwrap();
+    lives(&disk, storage);
     drop(disk);
-    let (disk, kept) = Disk::open(&path).unwrap();
-    let whole = format!("{kept:?}");
+    let (disk, storage) = Disk::open(&path).unwrap();
+    let whole = format!("{storage:?}");
     drop(disk);
     let length = std::fs::metadata(&path).unwrap().len() as usize;
     let (mut refused, mut opened) = (0, 0);
@@ -85,8 +85,8 @@
         let cut = folder.path().join("cut");
         copy_cut(&path, &cut, bytes);
         match Disk::open(&cut) {
-            Ok((_, kept)) => {
-                assert_eq!(format!("{kept:?}"), whole, "cut off after {bytes} of {length} bytes");
+            Ok((_, storage)) => {
+                assert_eq!(format!("{storage:?}"), whole, "cut off after {bytes} of {length} bytes");
                 opened += 1;
             }
             Err(e) => {
--- a/crates/badgerwind-register/src/memory.rs
+++ b/crates/badgerwind-register/src/memory.rs
@@ -1,6 +1,6 @@
 //! A voter's disk in memory, for simulated groups: what was written is there after a restart, whole or not at all.
 
-use crate::kept::{BadKept, Kept, Write};
+use crate::storage::{VoterStorage, VoterStorageError, Write};
 use crate::terms::Terms;
 use crate::voter;
 use crate::wire::{EntryForm, HardForm, SnapshotForm};
@@ -31,10 +31,10 @@
     }
 
     /// What a voter that starts again finds.
-    pub fn read(&self, terms: &Terms) -> Result<Kept, BadKept> {
+    pub fn read(&self, terms: &Terms) -> Result<VoterStorage, VoterStorageError> {
         let first = voter::begin(&terms.voters);
         let Some(hard) = self.hard else { return Ok(first) };
         let snapshot = self.snapshot.clone().unwrap_or_else(|| first.first());
-        Kept::read(snapshot, hard, self.entries.values().cloned().collect())
+        VoterStorage::read(snapshot, hard, self.entries.values().cloned().collect())
     }
 }
--- a/crates/badgerwind-register/src/message.rs
+++ b/crates/badgerwind-register/src/message.rs
@@ -1,7 +1,7 @@
 //! What members and voters say to each other, over a link that says who spoke.
 
 use crate::record::Record;
-use crate::terms::{Index, Life, Member, Time};
+use crate::terms::{Incarnation, Index, Member, Time};
 use crate::wire::RaftForm;
 use serde::{Deserialize, Serialize};
 
@@ -10,10 +10,10 @@
 pub enum Message {
     /// Between voters.
     Raft(Box<RaftForm>),
-    /// To the leader: this life goes on. The stamp is the member's own time and comes back as it is.
+    /// To the leader: this incarnation goes on. The stamp is the member's own time and comes back as it is.
     Renew {
-        /// Which life.
-        life: Life,
+        /// Which incarnation.
+        incarnation: Incarnation,
         /// When it asked, by its own clock.
         stamp: Time,
     },
@@ -21,10 +21,10 @@
     Offer(Vec<Record>),
     /// To a voter: what comes after this entry, once there is any.
     Since(Index),
-    /// From the leader: the life counted as going on when this was asked.
+    /// From the leader: the incarnation counted as going on when this was asked.
     Renewed {
-        /// Which life.
-        life: Life,
+        /// Which incarnation.
+        incarnation: Incarnation,
         /// The ask's stamp.
         stamp: Time,
     },
--- a/crates/badgerwind-register/src/node.rs
+++ b/crates/badgerwind-register/src/node.rs
@@ -1,14 +1,14 @@
 //! A member: its seat, its copy of what the log came to, and a voter where it is one.
 
-use crate::kept::{Kept, Write};
 use crate::leases::Ask;
 use crate::ledger::{Event, Ledger, Part};
 use crate::message::Message;
 use crate::record::{self, Record};
 use crate::seat::{Refused, Seat};
-use crate::terms::{BadTerms, Index, Life, Member, Terms, Time};
+use crate::storage::{VoterStorage, Write};
+use crate::terms::{BadTerms, Incarnation, Index, Member, Terms, Time};
 use crate::voter::{self, Voter};
-use crate::Flaw;
+use crate::Mutant;
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeMap;
@@ -46,7 +46,7 @@
     Write(Write),
     /// This entry brought something about.
     Event(Index, Event),
-    /// This member's life is over: so many of its words did not stand. It asks for another by itself.
+    /// This member's incarnation has ended: so many of its announcements did not stand. It asks for another by itself.
     Lost(usize),
     /// An entry is of a form that this program does not know: a newer one is needed. It follows the log no further.
     TooNew(Index),
@@ -66,7 +66,7 @@
     term: u64,
     /// Nothing is applied any more: an entry cannot be read.
     stuck: bool,
-    flaw: Option<Flaw>,
+    mutant: Option<Mutant>,
 }
 
 impl<P: Part> Node<P> {
@@ -86,35 +86,35 @@
             waiting: BTreeMap::new(),
             term: 0,
             stuck: false,
-            flaw: None,
+            mutant: None,
         })
     }
 
     /// A member that votes, with what was on its disk; [`Node::begin`] gives what is there before the first start.
-    pub fn voter(now: Time, setup: Setup, kept: Kept, part: P) -> Result<Node<P>, BadTerms> {
+    pub fn voter(now: Time, setup: Setup, storage: VoterStorage, part: P) -> Result<Node<P>, BadTerms> {
         let mut node = Node::follower(setup, part)?;
-        if kept.folded().index > 0 {
-            node.ledger.load(&kept.folded().data);
+        if storage.folded().index > 0 {
+            node.ledger.load(&storage.folded().data);
         }
         let rng = StdRng::seed_from_u64(node.rng.random());
-        node.voter = Some(Voter::new(now, node.me, kept, &node.terms, rng, None));
+        node.voter = Some(Voter::new(now, node.me, storage, &node.terms, rng, None));
         Ok(node)
     }
 
     /// What is on each first voter's disk before the register's first start, and on that of a voter that joins later: the log
     /// begins with the first voters, and says who came and went since. One that began with nobody would take itself for the
     /// only voter as soon as it read that it was added.
-    pub fn begin(terms: &Terms) -> Kept {
+    pub fn begin(terms: &Terms) -> VoterStorage {
         voter::begin(&terms.voters)
     }
 
     #[doc(hidden)]
-    pub fn flawed(mut self, now: Time, flaw: Option<Flaw>) -> Node<P> {
-        self.flaw = flaw;
-        self.ledger = self.ledger.flawed(flaw);
-        if let Some(kept) = self.voter.as_ref().map(|v| v.kept().clone()) {
+    pub fn with_mutant(mut self, now: Time, mutant: Option<Mutant>) -> Node<P> {
+        self.mutant = mutant;
+        self.ledger = self.ledger.with_mutant(mutant);
+        if let Some(storage) = self.voter.as_ref().map(|v| v.storage().clone()) {
             let rng = StdRng::seed_from_u64(self.rng.random());
-            self.voter = Some(Voter::new(now, self.me, kept, &self.terms, rng, flaw));
+            self.voter = Some(Voter::new(now, self.me, storage, &self.terms, rng, mutant));
         }
         self
     }
@@ -124,8 +124,8 @@
         &self.ledger
     }
 
-    /// The life in which this member may act at this moment by its own clock; an effect is checked against it when it is done.
-    pub fn alive(&self, now: Time) -> Option<Life> {
+    /// The incarnation in which this member may act at this moment by its own clock; an effect is checked against it when it is done.
+    pub fn alive(&self, now: Time) -> Option<Incarnation> {
         self.seat.alive(now)
     }
 
@@ -134,9 +134,9 @@
         self.seat.until()
     }
 
-    /// Words said in this life so far, whether they stand or not; 0 in any other life.
-    pub fn said(&self, life: Life) -> u64 {
-        self.seat.said(life)
+    /// Words said in this incarnation so far, whether they stand or not; 0 in any other incarnation.
+    pub fn announced(&self, incarnation: Incarnation) -> u64 {
+        self.seat.announced(incarnation)
     }
 
     /// Whether it leads, whom it takes for leader, and whose votes count.
@@ -154,20 +154,25 @@
         done
     }
 
-    /// Says something to the part. It stands once [`Event::Said`] tells its serial; if this life ends before, it never will.
-    pub fn say(&mut self, now: Time, bytes: Vec<u8>, out: &mut Vec<Output>) -> Result<(Life, u64), Refused> {
-        let said = self.seat.say(now, &self.terms, bytes)?;
+    /// Announces something to the part. It stands once [`Event::Announced`] tells its serial; if this incarnation ends before, it never will.
+    pub fn announce(
+        &mut self,
+        now: Time,
+        bytes: Vec<u8>,
+        out: &mut Vec<Output>,
+    ) -> Result<(Incarnation, u64), Refused> {
+        let said = self.seat.announce(now, &self.terms, bytes)?;
         let newest = self.seat.newest(&self.terms);
         newest.into_iter().for_each(|(to, m)| self.send(now, to, m, out));
         self.settle(now, out);
         Ok(said)
     }
 
-    /// This member goes: its life is over by its own word, and from this moment on it does nothing in it.
+    /// This member goes: its incarnation has ended by its own record, and from this moment on it does nothing in it.
     pub fn leave(&mut self, now: Time, out: &mut Vec<Output>) {
-        let Some(life) = self.seat.life.filter(|_| !self.seat.ended) else { return };
+        let Some(incarnation) = self.seat.incarnation.filter(|_| !self.seat.ended) else { return };
         self.seat.ended = true;
-        let over = Message::Offer(vec![Record::Over { member: self.me, life }]);
+        let over = Message::Offer(vec![Record::Ended { member: self.me, incarnation }]);
         let to: Vec<Member> = self.seat.leader.map_or(self.terms.voters.clone(), |l| vec![l]);
         to.into_iter().for_each(|to| self.send(now, to, over.clone(), out));
         self.settle(now, out);
@@ -216,7 +221,7 @@
         let mut all = None;
         for (member, since) in due {
             self.waiting.remove(&member);
-            let message = match v.kept().after(since, applied, self.terms.batch) {
+            let message = match v.storage().after(since, applied, self.terms.batch) {
                 Some(entries) => Message::Entries { entries, leader },
                 None => {
                     let bytes = all.get_or_insert_with(|| self.ledger.save()).clone();
@@ -234,9 +239,9 @@
                     v.heard(from, *form);
                 }
             }
-            Message::Renew { life, stamp } => {
+            Message::Renew { incarnation, stamp } => {
                 let Some(v) = &mut self.voter else { return };
-                if !v.asked(Ask { member: from, life, stamp }) {
+                if !v.asked(Ask { member: from, incarnation, stamp }) {
                     let leader = v.leader();
                     self.send(now, from, Message::Elsewhere(leader), out);
                 }
@@ -253,8 +258,8 @@
                     self.waiting.insert(from, index);
                 }
             }
-            Message::Renewed { life, stamp } => {
-                self.seat.renewed(now, life, stamp, self.terms.lease, self.flaw);
+            Message::Renewed { incarnation, stamp } => {
+                self.seat.renewed(now, incarnation, stamp, self.terms.lease, self.mutant);
                 self.seat.leader = Some(from);
             }
             Message::Elsewhere(leader) => {
@@ -299,12 +304,18 @@
         self.ledger.apply(at, &records, &mut events);
         for event in events {
             match event {
-                Event::Began(member, life) => self.voter.iter_mut().for_each(|v| v.began(now, member, life)),
-                Event::Over(member, life) => self.voter.iter_mut().for_each(|v| v.ended(member, life)),
-                Event::Said(member, life, serial) if member == self.me && self.seat.life == Some(life) => {
+                Event::Began(member, incarnation) => {
+                    self.voter.iter_mut().for_each(|v| v.began(now, member, incarnation))
+                }
+                Event::Ended(member, incarnation) => {
+                    self.voter.iter_mut().for_each(|v| v.ended(member, incarnation))
+                }
+                Event::Announced(member, incarnation, serial)
+                    if member == self.me && self.seat.incarnation == Some(incarnation) =>
+                {
                     self.seat.stands(serial);
                 }
-                Event::Said(..) => {}
+                Event::Announced(..) => {}
             }
             out.push(Output::Event(at, event));
         }
@@ -315,18 +326,18 @@
     fn look(&mut self, now: Time, out: &mut Vec<Output>) {
         let Some(s) = self.ledger.members().get(&self.me) else { return };
         if s.nonce != self.seat.nonce {
-            // Another process has this number, or this one's life is of before: nothing of it counts here.
-            if self.seat.life.is_some_and(|life| life < s.life) {
+            // Another process has this number, or this one's incarnation is of before: nothing of it counts here.
+            if self.seat.incarnation.is_some_and(|incarnation| incarnation < s.incarnation) {
                 let lost = self.seat.begin_again(self.rng.random());
                 out.push(Output::Lost(lost));
             }
             return;
         }
-        if self.seat.life.is_none() {
-            self.seat.began(now, s.life);
+        if self.seat.incarnation.is_none() {
+            self.seat.began(now, s.incarnation);
         }
-        self.seat.stands(s.said);
-        if s.over {
+        self.seat.stands(s.announced);
+        if s.ended {
             let lost = self.seat.begin_again(self.rng.random());
             out.push(Output::Lost(lost));
         }
@@ -355,7 +366,7 @@
         loop {
             let Some(v) = &mut self.voter else { return };
             for ask in v.grants(now, &self.ledger) {
-                let renewed = Message::Renewed { life: ask.life, stamp: ask.stamp };
+                let renewed = Message::Renewed { incarnation: ask.incarnation, stamp: ask.stamp };
                 self.send(now, ask.member, renewed, out);
             }
             let Some(v) = &mut self.voter else { return };
--- a/crates/badgerwind-register/src/record.rs
+++ b/crates/badgerwind-register/src/record.rs
@@ -1,6 +1,6 @@
 //! What is written in the log.
 
-use crate::terms::{Life, Member};
+use crate::terms::{Incarnation, Member};
 use serde::{Deserialize, Serialize};
 
 /// The newest form of records that this program can read. A record of a newer form is proposed only once every living member
@@ -10,33 +10,33 @@
 /// One thing that happened, for all members in the same order.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Record {
-    /// A member asks for a life. It gets one only where its last one is over.
+    /// A member asks for an incarnation. It gets one only where its last one has ended.
     Join {
         /// Who.
         member: Member,
-        /// Drawn by its process, so that it knows its life from another process's under its number.
+        /// Drawn by its process, so that it knows its incarnation from another process's under its number.
         nonce: u64,
         /// Its zone.
         zone: u8,
         /// The newest form of records that it reads.
         speaks: u8,
     },
-    /// A life is over: by proof, or by its own word.
-    Over {
+    /// An incarnation has ended: by proof, or by its own record.
+    Ended {
         /// Whose.
         member: Member,
         /// Which.
-        life: Life,
+        incarnation: Incarnation,
     },
-    /// A word for the part built on the register.
-    Say {
+    /// An announcement for the part built on the register.
+    Announce {
         /// Who says it.
         member: Member,
-        /// In which life.
-        life: Life,
-        /// Counted from 1 within the life: each is taken once, in order.
+        /// In which incarnation.
+        incarnation: Incarnation,
+        /// Counted from 1 within the incarnation: each is taken once, in order.
         serial: u64,
-        /// The word.
+        /// The announcement.
         bytes: Vec<u8>,
     },
 }
@@ -45,14 +45,16 @@
     /// Whose record it is: nobody offers another's.
     pub fn member(&self) -> Member {
         match self {
-            Record::Join { member, .. } | Record::Over { member, .. } | Record::Say { member, .. } => *member,
+            Record::Join { member, .. } | Record::Ended { member, .. } | Record::Announce { member, .. } => {
+                *member
+            }
         }
     }
 
     /// Bytes that it takes, about.
     pub fn size(&self) -> usize {
         match self {
-            Record::Say { bytes, .. } => 24 + bytes.len(),
+            Record::Announce { bytes, .. } => 24 + bytes.len(),
             _ => 24,
         }
     }
--- a/crates/badgerwind-register/src/seat.rs
+++ b/crates/badgerwind-register/src/seat.rs
@@ -1,22 +1,22 @@
-//! A member's own side: its life, and what it has said that does not stand yet.
+//! A member's own side: its incarnation, and what it has announced that does not stand yet.
 
 use crate::message::Message;
 use crate::record::{Record, VERSION};
-use crate::terms::{Life, Member, Span, Terms, Time};
-use crate::Flaw;
+use crate::terms::{Incarnation, Member, Span, Terms, Time};
+use crate::Mutant;
 use std::collections::VecDeque;
 
-/// Why a word is not taken.
+/// Why an announcement is not taken.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 pub enum Refused {
-    /// This member has no life, or its lease is over: it may say nothing.
+    /// This member has no incarnation, or its lease has ended: it may say nothing.
     #[error("the register does not count this member as living: it cannot be reached, or has just begun")]
     NotLiving,
-    /// A word longer than an entry may be.
-    #[error("a word of {0} bytes; {1} at most")]
+    /// An announcement longer than an entry may be.
+    #[error("an announcement of {0} bytes; {1} at most")]
     Long(usize, usize),
-    /// As many words as may be are under way.
-    #[error("{0} words wait for the register already")]
+    /// As many announcements as may be are under way.
+    #[error("{0} announcements wait for the register already")]
     Full(usize),
 }
 
@@ -26,10 +26,10 @@
     me: Member,
     zone: u8,
     pub nonce: u64,
-    pub life: Option<Life>,
+    pub incarnation: Option<Incarnation>,
     /// By its own clock, it counts as living until then.
     until: Time,
-    /// It has said that it leaves, or its life was ended.
+    /// It has said that it leaves, or its incarnation was ended.
     pub ended: bool,
     pub leader: Option<Member>,
     /// Voters are asked in turn while nobody says who leads, and for what follows the log.
@@ -39,7 +39,7 @@
     fed: Time,
     asked: Time,
     serial: u64,
-    words: VecDeque<(u64, Vec<u8>)>,
+    announcements: VecDeque<(u64, Vec<u8>)>,
 }
 
 impl Seat {
@@ -48,7 +48,7 @@
             me,
             zone,
             nonce,
-            life: None,
+            incarnation: None,
             until: 0,
             ended: false,
             leader: None,
@@ -57,17 +57,17 @@
             fed: 0,
             asked: 0,
             serial: 0,
-            words: VecDeque::new(),
+            announcements: VecDeque::new(),
         }
     }
 
-    /// The life in which it may act now. Looked at at the moment of an effect, by its own clock.
-    pub(crate) fn alive(&self, now: Time) -> Option<Life> {
-        self.life.filter(|_| !self.ended && now < self.until)
+    /// The incarnation in which it may act now. Looked at at the moment of an effect, by its own clock.
+    pub(crate) fn alive(&self, now: Time) -> Option<Incarnation> {
+        self.incarnation.filter(|_| !self.ended && now < self.until)
     }
 
-    pub(crate) fn said(&self, life: Life) -> u64 {
-        if self.life == Some(life) {
+    pub(crate) fn announced(&self, incarnation: Incarnation) -> u64 {
+        if self.incarnation == Some(incarnation) {
             self.serial
         } else {
             0
@@ -78,38 +78,50 @@
         self.until
     }
 
-    pub(crate) fn renewed(&mut self, now: Time, life: Life, stamp: Time, lease: Span, flaw: Option<Flaw>) {
-        if self.life == Some(life) && stamp <= now {
-            let from = if flaw == Some(Flaw::LeaseFromReceipt) { now } else { stamp };
+    pub(crate) fn renewed(
+        &mut self,
+        now: Time,
+        incarnation: Incarnation,
+        stamp: Time,
+        lease: Span,
+        mutant: Option<Mutant>,
+    ) {
+        if self.incarnation == Some(incarnation) && stamp <= now {
+            let from = if mutant == Some(Mutant::LeaseFromReceipt) { now } else { stamp };
             self.until = self.until.max(from + lease);
             self.heard = now;
         }
     }
 
-    /// A word is under way from here; it is offered until it stands.
-    pub(crate) fn say(&mut self, now: Time, terms: &Terms, bytes: Vec<u8>) -> Result<(Life, u64), Refused> {
-        let life = self.alive(now).ok_or(Refused::NotLiving)?;
+    /// An announcement is under way from here; it is offered until it stands.
+    pub(crate) fn announce(
+        &mut self,
+        now: Time,
+        terms: &Terms,
+        bytes: Vec<u8>,
+    ) -> Result<(Incarnation, u64), Refused> {
+        let incarnation = self.alive(now).ok_or(Refused::NotLiving)?;
         if bytes.len() > terms.batch {
             return Err(Refused::Long(bytes.len(), terms.batch));
         }
-        if self.words.len() >= terms.under_way {
+        if self.announcements.len() >= terms.under_way {
             return Err(Refused::Full(terms.under_way));
         }
         self.serial += 1;
-        self.words.push_back((self.serial, bytes));
-        Ok((life, self.serial))
+        self.announcements.push_back((self.serial, bytes));
+        Ok((incarnation, self.serial))
     }
 
     /// Words up to this one stand.
     pub(crate) fn stands(&mut self, upto: u64) {
-        while self.words.front().is_some_and(|w| w.0 <= upto) {
-            self.words.pop_front();
+        while self.announcements.front().is_some_and(|w| w.0 <= upto) {
+            self.announcements.pop_front();
         }
     }
 
-    /// From the next beat on it begins anew: words that did not stand are lost with the life.
+    /// From the next beat on it begins anew: announcements that did not stand are lost with the incarnation.
     pub(crate) fn begin_again(&mut self, nonce: u64) -> usize {
-        let lost = self.words.len();
+        let lost = self.announcements.len();
         let (me, zone, leader, turn) = (self.me, self.zone, self.leader, self.turn);
         *self = Seat {
             leader,
@@ -122,12 +134,12 @@
         lost
     }
 
-    /// Its words, as many as an offer holds, from one on.
+    /// Its announcements, as many as an offer holds, from one on.
     fn offer(&self, from: usize, room: usize) -> Vec<Record> {
-        let Some(life) = self.life else { return Vec::new() };
+        let Some(incarnation) = self.incarnation else { return Vec::new() };
         let (mut bytes, mut out) = (0, Vec::new());
-        for (serial, word) in self.words.iter().skip(from) {
-            let r = Record::Say { member: self.me, life, serial: *serial, bytes: word.clone() };
+        for (serial, word) in self.announcements.iter().skip(from) {
+            let r = Record::Announce { member: self.me, incarnation, serial: *serial, bytes: word.clone() };
             bytes += r.size();
             if bytes > room && !out.is_empty() {
                 break;
@@ -141,16 +153,16 @@
         voters.get(self.turn % voters.len().max(1)).copied()
     }
 
-    /// What is offered at once: the newest word.
+    /// What is offered at once: the newest announcement.
     pub(crate) fn newest(&self, terms: &Terms) -> Option<(Member, Message)> {
         let to = self.leader.or_else(|| self.voter(&terms.voters))?;
-        let records = self.offer(self.words.len().saturating_sub(1), terms.batch);
+        let records = self.offer(self.announcements.len().saturating_sub(1), terms.batch);
         (!records.is_empty()).then_some((to, Message::Offer(records)))
     }
 
-    /// Whether this life is in the log, as this process's.
-    pub(crate) fn began(&mut self, now: Time, life: Life) {
-        (self.life, self.heard) = (Some(life), now);
+    /// Whether this incarnation is in the log, as this process's.
+    pub(crate) fn began(&mut self, now: Time, incarnation: Incarnation) {
+        (self.incarnation, self.heard) = (Some(incarnation), now);
     }
 
     /// What is asked at a beat: to live, to write, and for what follows.
@@ -167,14 +179,14 @@
         let mut out = Vec::new();
         let leader = self.leader.or_else(|| self.voter(&terms.voters));
         if let Some(to) = leader.filter(|_| !self.ended) {
-            match self.life {
+            match self.incarnation {
                 None => {
                     let join =
                         Record::Join { member: self.me, nonce: self.nonce, zone: self.zone, speaks: VERSION };
                     out.push((to, Message::Offer(vec![join])));
                 }
-                Some(life) => {
-                    out.push((to, Message::Renew { life, stamp: now }));
+                Some(incarnation) => {
+                    out.push((to, Message::Renew { incarnation, stamp: now }));
                     let records = self.offer(0, terms.batch);
                     if !records.is_empty() {
                         out.push((to, Message::Offer(records)));
--- a/crates/badgerwind-register/src/kept.rs
+++ b/crates/badgerwind-register/src/storage.rs
@@ -37,7 +37,7 @@
 
 /// What was read back cannot be what a voter wrote.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum BadKept {
+pub enum VoterStorageError {
     /// Entries are missing.
     #[error("entry {0} is missing from the voter's log: its disk is damaged; remove this voter and let another join")]
     Gap(u64),
@@ -53,7 +53,7 @@
 
 /// A voter's memory: what is on its disk, and as long as it takes to write, what goes there.
 #[derive(Clone, Debug)]
-pub struct Kept {
+pub struct VoterStorage {
     hard: HardState,
     voters: Vec<u64>,
     snapshot: SnapshotForm,
@@ -62,11 +62,11 @@
     entries: VecDeque<Entry>,
 }
 
-impl Kept {
+impl VoterStorage {
     /// The register begins, with these voters.
-    pub fn begin(voters: &[u64]) -> Kept {
+    pub fn begin(voters: &[u64]) -> VoterStorage {
         let snapshot = SnapshotForm { index: 0, term: 0, voters: voters.to_vec(), data: Vec::new() };
-        Kept {
+        VoterStorage {
             hard: HardState::default(),
             voters: voters.to_vec(),
             snapshot,
@@ -77,23 +77,27 @@
 
     /// What was on the disk: the last snapshot, the vote, and the entries in order; those that the snapshot covers are passed
     /// over.
-    pub fn read(snapshot: SnapshotForm, hard: HardForm, entries: Vec<EntryForm>) -> Result<Kept, BadKept> {
-        let mut kept = Kept::begin(&snapshot.voters);
-        kept.before = (snapshot.index, snapshot.term);
+    pub fn read(
+        snapshot: SnapshotForm,
+        hard: HardForm,
+        entries: Vec<EntryForm>,
+    ) -> Result<VoterStorage, VoterStorageError> {
+        let mut storage = VoterStorage::begin(&snapshot.voters);
+        storage.before = (snapshot.index, snapshot.term);
         for e in entries.into_iter().filter(|e| e.index > snapshot.index) {
-            let next = kept.last() + 1;
+            let next = storage.last() + 1;
             if e.index != next {
-                return Err(BadKept::Gap(next));
+                return Err(VoterStorageError::Gap(next));
             }
-            kept.entries.push_back(e.entry());
+            storage.entries.push_back(e.entry());
         }
-        if hard.commit > kept.last() {
-            return Err(BadKept::Short { last: kept.last(), commit: hard.commit });
+        if hard.commit > storage.last() {
+            return Err(VoterStorageError::Short { last: storage.last(), commit: hard.commit });
         }
-        kept.hard = hard.hard();
-        kept.hard.commit = kept.hard.commit.max(snapshot.index);
-        kept.snapshot = snapshot;
-        Ok(kept)
+        storage.hard = hard.hard();
+        storage.hard.commit = storage.hard.commit.max(snapshot.index);
+        storage.snapshot = snapshot;
+        Ok(storage)
     }
 
     /// What a voter that has written no snapshot yet begins with.
@@ -173,7 +177,7 @@
     }
 }
 
-impl Storage for Kept {
+impl Storage for VoterStorage {
     fn initial_state(&self) -> raft::Result<RaftState> {
         let conf = ConfState { voters: self.voters.clone(), ..ConfState::default() };
         Ok(RaftState::new(self.hard.clone(), conf))
--- a/crates/badgerwind-register/src/terms.rs
+++ b/crates/badgerwind-register/src/terms.rs
@@ -6,8 +6,8 @@
 pub type Span = u64;
 /// A front end's number, as the settings have it.
 pub type Member = u16;
-/// A member's life, numbered by the register in the order in which they began, from 1.
-pub type Life = u64;
+/// A member's incarnation, numbered by the register in the order in which they began, from 1.
+pub type Incarnation = u64;
 /// A place in the log.
 pub type Index = u64;
 
@@ -24,10 +24,10 @@
     pub drift: u32,
     /// How often a voter looks at its own affairs, in microseconds.
     pub tick: Span,
-    /// Ticks without a leader's word after which a voter stands, drawn between this and twice this.
+    /// Ticks without a leader's announcement after which a voter stands, drawn between this and twice this.
     pub patience: u32,
     /// Entries that a voter keeps for those who are behind; who is further behind gets all that stands.
-    pub kept: u64,
+    pub retained: u64,
     /// Bytes of records in one entry, and in one answer to a follower, about.
     pub batch: usize,
     /// Words that a member may have under way.
@@ -54,7 +54,7 @@
     /// A clock cannot be off by so much.
     #[error("a drift of {0} millionths is more than a clock's tenth")]
     Drift(u32),
-    /// A tick of nothing, or a patience without room for a lost word.
+    /// A tick of nothing, or a patience without room for a lost announcement.
     #[error(
         "a tick of {tick} us with a patience of {patience}; a tick above 0 and a patience of at least 5"
     )]
@@ -79,7 +79,7 @@
             drift: 1_000,
             tick: 20_000,
             patience: 10,
-            kept: 4096,
+            retained: 4096,
             batch: 64 * 1024,
             under_way: 1024,
         }
@@ -104,7 +104,7 @@
             return Err(BadTerms::Tick { tick: self.tick, patience: self.patience });
         }
         for (name, value, least) in [
-            ("kept", self.kept, 16),
+            ("retained", self.retained, 16),
             ("batch", self.batch as u64, 1024),
             ("under-way", self.under_way as u64, 1),
         ] {
--- a/crates/badgerwind-register/src/voter.rs
+++ b/crates/badgerwind-register/src/voter.rs
@@ -1,12 +1,12 @@
 //! A voter: the consensus library, its patience drawn by our own seed, and what a leader does beside leading.
 
-use crate::kept::{Kept, Write};
 use crate::leases::{Ask, Leases};
 use crate::ledger::{Ledger, Part};
 use crate::record::{self, Record};
-use crate::terms::{Index, Life, Member, Terms, Time};
+use crate::storage::{VoterStorage, Write};
+use crate::terms::{Incarnation, Index, Member, Terms, Time};
 use crate::wire::{EntryForm, HardForm, RaftForm, SnapshotForm};
-use crate::Flaw;
+use crate::Mutant;
 use raft::eraftpb::{ConfChange, ConfChangeType, Entry, EntryType};
 use raft::{Config, RawNode, StateRole};
 use rand::rngs::StdRng;
@@ -29,8 +29,8 @@
 }
 
 /// The memory of a voter with which the register begins.
-pub(crate) fn begin(voters: &[Member]) -> Kept {
-    Kept::begin(&voters.iter().map(|v| id(*v)).collect::<Vec<_>>())
+pub(crate) fn begin(voters: &[Member]) -> VoterStorage {
+    VoterStorage::begin(&voters.iter().map(|v| id(*v)).collect::<Vec<_>>())
 }
 
 /// What followed from a write that is done.
@@ -43,14 +43,14 @@
 }
 
 /// What a leader has beside its log.
-struct Reign {
+struct Leadership {
     term: u64,
-    /// Known once the reign's first entry stands.
+    /// Known once the leadership's first entry stands.
     leases: Option<Leases>,
     queue: VecDeque<Record>,
     waiting: usize,
-    /// The last word of each member that is in the log or on its way there.
-    offered: BTreeMap<Member, (Life, u64)>,
+    /// The last announcement of each member that is in the log or on its way there.
+    offered: BTreeMap<Member, (Incarnation, u64)>,
     asks: Vec<Ask>,
     /// Asks whose proof is under way, by its number; with the entry that has to be applied once it is there.
     proofs: VecDeque<(u64, Option<Index>, Vec<Ask>)>,
@@ -68,7 +68,7 @@
 
 pub(crate) struct Voter {
     me: Member,
-    node: RawNode<Kept>,
+    node: RawNode<VoterStorage>,
     terms: Terms,
     rng: StdRng,
     ticked: Time,
@@ -76,8 +76,8 @@
     drawn: (u64, StateRole, usize),
     writing: Option<Writing>,
     fold: Option<Write>,
-    reign: Option<Reign>,
-    flaw: Option<Flaw>,
+    leadership: Option<Leadership>,
+    mutant: Option<Mutant>,
 }
 
 impl std::fmt::Debug for Voter {
@@ -93,17 +93,17 @@
     pub(crate) fn new(
         now: Time,
         me: Member,
-        kept: Kept,
+        storage: VoterStorage,
         terms: &Terms,
         rng: StdRng,
-        flaw: Option<Flaw>,
+        mutant: Option<Mutant>,
     ) -> Voter {
         let patience = terms.patience as usize;
         let config = Config {
             id: id(me),
             election_tick: patience,
             heartbeat_tick: (patience / 4).max(1),
-            applied: kept.folded().index,
+            applied: storage.folded().index,
             max_size_per_msg: terms.batch as u64,
             max_inflight_msgs: 64,
             check_quorum: true,
@@ -112,7 +112,8 @@
         };
         let log = slog::Logger::root(slog::Discard, slog::o!());
         // The library refuses only figures that `Terms::check` has refused before.
-        let node = RawNode::new(&config, kept, &log).unwrap_or_else(|e| unreachable!("checked terms: {e}"));
+        let node =
+            RawNode::new(&config, storage, &log).unwrap_or_else(|e| unreachable!("checked terms: {e}"));
         let drawn = (u64::MAX, StateRole::Follower, 0);
         let mut v = Voter {
             me,
@@ -123,8 +124,8 @@
             drawn,
             writing: None,
             fold: None,
-            reign: None,
-            flaw,
+            leadership: None,
+            mutant,
         };
         v.draw();
         v
@@ -148,12 +149,12 @@
         member(self.node.raft.leader_id)
     }
 
-    pub(crate) fn kept(&self) -> &Kept {
+    pub(crate) fn storage(&self) -> &VoterStorage {
         self.node.store()
     }
 
     pub(crate) fn votes(&self) -> Vec<Member> {
-        self.kept().voters().iter().filter_map(|v| member(*v)).collect()
+        self.storage().voters().iter().filter_map(|v| member(*v)).collect()
     }
 
     /// Time passes, a tick for each that is due; after a stop a few, not all that were missed.
@@ -168,25 +169,25 @@
         }
         (0..due).for_each(|_| _ = self.node.tick());
         self.role();
-        let outlasts = match self.flaw {
-            Some(Flaw::IgnoresDrift) => self.terms.lease,
+        let outlasts = match self.mutant {
+            Some(Mutant::IgnoresDrift) => self.terms.lease,
             _ => self.terms.outlasts(self.terms.lease),
         };
-        let Some(reign) = &mut self.reign else { return };
-        let Some(leases) = &mut reign.leases else { return };
-        let living = ledger.members().iter().filter(|(_, s)| !s.over).map(|(m, s)| (*m, s.life));
-        for (member, life) in leases.over(now, outlasts, living) {
-            let over = Record::Over { member, life };
-            reign.waiting += over.size();
-            reign.queue.push_back(over);
+        let Some(leadership) = &mut self.leadership else { return };
+        let Some(leases) = &mut leadership.leases else { return };
+        let living = ledger.members().iter().filter(|(_, s)| !s.ended).map(|(m, s)| (*m, s.incarnation));
+        for (member, incarnation) in leases.over(now, outlasts, living) {
+            let over = Record::Ended { member, incarnation };
+            leadership.waiting += over.size();
+            leadership.queue.push_back(over);
         }
-        if !reign.asks.is_empty() {
-            reign.proof += 1;
-            if reign.proofs.len() >= PROOFS {
-                reign.proofs.pop_front();
+        if !leadership.asks.is_empty() {
+            leadership.proof += 1;
+            if leadership.proofs.len() >= PROOFS {
+                leadership.proofs.pop_front();
             }
-            reign.proofs.push_back((reign.proof, None, std::mem::take(&mut reign.asks)));
-            self.node.read_index(reign.proof.to_be_bytes().to_vec());
+            leadership.proofs.push_back((leadership.proof, None, std::mem::take(&mut leadership.asks)));
+            self.node.read_index(leadership.proof.to_be_bytes().to_vec());
         }
     }
 
@@ -200,9 +201,9 @@
         self.draw();
         let term = self.node.raft.term;
         if !self.leads() {
-            self.reign = None;
-        } else if self.reign.as_ref().is_none_or(|r| r.term != term) {
-            self.reign = Some(Reign {
+            self.leadership = None;
+        } else if self.leadership.as_ref().is_none_or(|r| r.term != term) {
+            self.leadership = Some(Leadership {
                 term,
                 leases: None,
                 queue: VecDeque::new(),
@@ -229,9 +230,9 @@
     /// A member's ask, and a member's records; false where this voter does not lead.
     pub(crate) fn asked(&mut self, ask: Ask) -> bool {
         let most = usize::from(Member::MAX);
-        let Some(reign) = &mut self.reign else { return false };
-        if reign.asks.len() < most {
-            reign.asks.push(ask);
+        let Some(leadership) = &mut self.leadership else { return false };
+        if leadership.asks.len() < most {
+            leadership.asks.push(ask);
         }
         true
     }
@@ -243,38 +244,39 @@
         ledger: &Ledger<P>,
     ) -> bool {
         let most = WAITING * self.terms.batch;
-        let Some(reign) = &mut self.reign else { return false };
+        let Some(leadership) = &mut self.leadership else { return false };
         for r in records.into_iter().filter(|r| r.member() == from) {
-            if reign.waiting + r.size() > most {
+            if leadership.waiting + r.size() > most {
                 break;
             }
             let standing = ledger.members().get(&from);
             let fits = match &r {
                 Record::Join { .. } => {
-                    standing.is_none_or(|s| s.over) || self.flaw == Some(Flaw::JoinsBesideTheLiving)
+                    standing.is_none_or(|s| s.ended) || self.mutant == Some(Mutant::JoinsBesideTheLiving)
                 }
-                Record::Over { life, .. } => ledger.lives(from, *life),
-                Record::Say { life, serial, .. } => {
-                    let said = standing.filter(|s| s.life == *life).map_or(0, |s| s.said);
-                    let on_its_way = reign.offered.get(&from).filter(|o| o.0 == *life).map_or(0, |o| o.1);
-                    let dead = self.flaw == Some(Flaw::TakesWordsOfTheDead);
-                    let loose = matches!(self.flaw, Some(Flaw::TakesWordsTwice | Flaw::TakesGaps));
+                Record::Ended { incarnation, .. } => ledger.is_alive(from, *incarnation),
+                Record::Announce { incarnation, serial, .. } => {
+                    let said = standing.filter(|s| s.incarnation == *incarnation).map_or(0, |s| s.announced);
+                    let on_its_way =
+                        leadership.offered.get(&from).filter(|o| o.0 == *incarnation).map_or(0, |o| o.1);
+                    let dead = self.mutant == Some(Mutant::TakesWordsOfTheDead);
+                    let loose = matches!(self.mutant, Some(Mutant::TakesWordsTwice | Mutant::TakesGaps));
                     let next = *serial == said.max(on_its_way) + 1 || loose;
                     if next {
-                        reign.offered.insert(from, (*life, *serial));
+                        leadership.offered.insert(from, (*incarnation, *serial));
                     }
-                    next && (ledger.lives(from, *life) || dead)
+                    next && (ledger.is_alive(from, *incarnation) || dead)
                 }
             };
             if fits {
-                reign.waiting += r.size();
-                reign.queue.push_back(r);
+                leadership.waiting += r.size();
+                leadership.queue.push_back(r);
             }
         }
         true
     }
 
-    /// Another voter, or one less. One at a time; the leader's word alone.
+    /// Another voter, or one less. One at a time; the leader's announcement alone.
     pub(crate) fn change(&mut self, add: bool, who: Member) -> bool {
         let kind = if add { ConfChangeType::AddNode } else { ConfChangeType::RemoveNode };
         let mut change = ConfChange { node_id: id(who), ..ConfChange::default() };
@@ -285,23 +287,23 @@
 
     /// What waits goes into the log together: what came while the disk was busy shares its next write.
     fn batch(&mut self) {
-        let Some(reign) = &mut self.reign else { return };
-        while !reign.queue.is_empty() {
+        let Some(leadership) = &mut self.leadership else { return };
+        while !leadership.queue.is_empty() {
             let (mut records, mut bytes) = (Vec::new(), 0);
-            while let Some(r) = reign.queue.pop_front() {
+            while let Some(r) = leadership.queue.pop_front() {
                 bytes += r.size();
                 records.push(r);
                 if bytes >= self.terms.batch {
                     break;
                 }
             }
-            reign.waiting = reign.waiting.saturating_sub(bytes);
+            leadership.waiting = leadership.waiting.saturating_sub(bytes);
             if self.node.propose(vec![], record::write(&records)).is_err() {
                 // Refused for now: members offer theirs again, and ends are found again.
                 for r in records {
-                    match (r, &mut reign.leases) {
-                        (Record::Over { life, .. }, Some(leases)) => leases.again(life),
-                        (Record::Say { member, .. }, _) => _ = reign.offered.remove(&member),
+                    match (r, &mut leadership.leases) {
+                        (Record::Ended { incarnation, .. }, Some(leases)) => leases.again(incarnation),
+                        (Record::Announce { member, .. }, _) => _ = leadership.offered.remove(&member),
                         _ => {}
                     }
                 }
@@ -325,7 +327,7 @@
         let mut ready = self.node.ready();
         for state in ready.take_read_states() {
             let number = state.request_ctx.as_slice().try_into().map(u64::from_be_bytes);
-            let proofs = self.reign.iter_mut().flat_map(|r| &mut r.proofs);
+            let proofs = self.leadership.iter_mut().flat_map(|r| &mut r.proofs);
             if let Some(p) = number.ok().and_then(|n| proofs.into_iter().find(|p| p.0 == n)) {
                 p.1 = Some(state.index);
             }
@@ -385,37 +387,43 @@
             }
             return (e.index, e.term, Vec::new());
         }
-        if let Some(reign) = self.reign.as_mut().filter(|r| r.term == e.term && r.leases.is_none()) {
-            let since = if self.flaw == Some(Flaw::NewLeaderEndsAtOnce) { 0 } else { now };
-            reign.leases = Some(Leases::new(since));
+        if let Some(leadership) = self.leadership.as_mut().filter(|r| r.term == e.term && r.leases.is_none())
+        {
+            let since = if self.mutant == Some(Mutant::NewLeaderEndsAtOnce) { 0 } else { now };
+            leadership.leases = Some(Leases::new(since));
         }
         (e.index, e.term, e.data.to_vec())
     }
 
-    /// A life began, or stands as ended.
-    pub(crate) fn began(&mut self, now: Time, member: Member, life: Life) {
-        if let Some(leases) = self.reign.as_mut().and_then(|r| r.leases.as_mut()) {
-            leases.began(now, member, life);
+    /// An incarnation began, or stands as ended.
+    pub(crate) fn began(&mut self, now: Time, member: Member, incarnation: Incarnation) {
+        if let Some(leases) = self.leadership.as_mut().and_then(|r| r.leases.as_mut()) {
+            leases.began(now, member, incarnation);
         }
     }
 
-    pub(crate) fn ended(&mut self, member: Member, life: Life) {
-        if let Some(leases) = self.reign.as_mut().and_then(|r| r.leases.as_mut()) {
-            leases.ended(member, life);
+    pub(crate) fn ended(&mut self, member: Member, incarnation: Incarnation) {
+        if let Some(leases) = self.leadership.as_mut().and_then(|r| r.leases.as_mut()) {
+            leases.ended(member, incarnation);
         }
     }
 
     /// Asks that are proven by now, and may be granted.
     pub(crate) fn grants<P: Part>(&mut self, now: Time, ledger: &Ledger<P>) -> Vec<Ask> {
         let (unproven, ending) =
-            (self.flaw == Some(Flaw::GrantsWithoutProof), self.flaw == Some(Flaw::GrantsWhatItEnds));
+            (self.mutant == Some(Mutant::GrantsWithoutProof), self.mutant == Some(Mutant::GrantsWhatItEnds));
         let mut out = Vec::new();
-        let Some(reign) = &mut self.reign else { return out };
-        let Some(leases) = &mut reign.leases else { return out };
-        while reign.proofs.front().is_some_and(|p| unproven || p.1.is_some_and(|i| i <= ledger.applied())) {
-            let Some((.., asks)) = reign.proofs.pop_front() else { break };
+        let Some(leadership) = &mut self.leadership else { return out };
+        let Some(leases) = &mut leadership.leases else { return out };
+        while leadership
+            .proofs
+            .front()
+            .is_some_and(|p| unproven || p.1.is_some_and(|i| i <= ledger.applied()))
+        {
+            let Some((.., asks)) = leadership.proofs.pop_front() else { break };
             out.extend(
-                asks.into_iter().filter(|a| leases.proven(now, a, ledger.lives(a.member, a.life), ending)),
+                asks.into_iter()
+                    .filter(|a| leases.proven(now, a, ledger.is_alive(a.member, a.incarnation), ending)),
             );
         }
         out
@@ -424,14 +432,14 @@
     /// All that stands is folded into one, so that the log may be cut.
     pub(crate) fn fold<P: Part>(&mut self, ledger: &Ledger<P>, term: u64) {
         let at = ledger.applied();
-        if at < self.kept().folded().index + self.terms.kept || self.fold.is_some() {
+        if at < self.storage().folded().index + self.terms.retained || self.fold.is_some() {
             return;
         }
-        let voters = self.kept().voters().to_vec();
+        let voters = self.storage().voters().to_vec();
         let snapshot = SnapshotForm { index: at, term, voters, data: ledger.save() };
         self.fold = Some(Write {
             snapshot: Some(snapshot),
-            cut: Some(at.saturating_sub(self.terms.kept)),
+            cut: Some(at.saturating_sub(self.terms.retained)),
             ..Write::default()
         });
     }
--- a/crates/badgerwind-register/tests/figures.rs
+++ b/crates/badgerwind-register/tests/figures.rs
@@ -12,7 +12,7 @@
         ..Terms::of((0..members.min(5) as Member - (members.min(5) as Member + 1) % 2).collect())
     };
     let (loss, twice, delay, disk) = (0.0, 0.0, 2 * MS, 4 * MS);
-    Plan { seed: 7, members, terms, loss, twice, delay, disk, words, faults, end: 12_000 * MS, flaw: None }
+    Plan { seed: 7, members, terms, loss, twice, delay, disk, words, faults, end: 12_000 * MS, mutant: None }
 }
 
 fn share(seen: &Seen) -> (f64, f64) {
--- a/crates/badgerwind-register/tests/voters.rs
+++ b/crates/badgerwind-register/tests/voters.rs
@@ -66,7 +66,7 @@
     let mut room = Room { now: 0, nodes: [(0, node)].into(), down: vec![] };
     let say = |room: &mut Room, bytes: usize| {
         let now = room.now;
-        room.nodes.get_mut(&0).unwrap().say(now, vec![0; bytes], &mut Vec::new()).map(|s| s.1)
+        room.nodes.get_mut(&0).unwrap().announce(now, vec![0; bytes], &mut Vec::new()).map(|s| s.1)
     };
     assert_eq!(say(&mut room, 8), Err(Refused::NotLiving));
     room.pass(3_000);
@@ -102,6 +102,6 @@
     room.pass(8_000);
     let left: Vec<Member> = others.into_iter().filter(|m| *m != gone).collect();
     assert!(left.iter().any(|m| room.nodes[m].view().0), "one of {left:?} leads");
-    let ended = room.nodes[&left[0]].ledger().members()[&gone].over;
+    let ended = room.nodes[&left[0]].ledger().members()[&gone].ended;
     assert!(ended, "and what it decides stands");
 }
--- a/crates/badgerwind-register/tests/world/mod.rs
+++ b/crates/badgerwind-register/tests/world/mod.rs
@@ -1,6 +1,6 @@
 //! A fleet in simulated time: the product's own state machines, disks that take time and lose what they had not finished, a
 //! network that loses, doubles, delays and cuts, processes that die, stop, go on and start again, clocks that run fast and slow.
-//! The observer knows true time, looks at every life after every step and at every state that an entry led to.
+//! The observer knows true time, looks at every incarnation after every step and at every state that an entry led to.
 
 #![allow(dead_code)] // not every test plays all of it
 
@@ -12,16 +12,16 @@
 
 pub const MS: u64 = 1000;
 
-/// How many words of each life were taken, and whether one came twice, out of order or after the life's end.
+/// How many words of each incarnation were taken, and whether one came twice, out of order or after the incarnation's end.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Tally {
-    said: BTreeMap<(Member, Life), (u64, bool)>,
+    said: BTreeMap<(Member, Incarnation), (u64, bool)>,
     words: u64,
     wrong: Option<String>,
 }
 
 impl Part for Tally {
-    fn said(&mut self, at: Index, by: (Member, Life), bytes: &[u8]) {
+    fn announced(&mut self, at: Index, by: (Member, Incarnation), bytes: &[u8]) {
         let word = u64::from_be_bytes(bytes.try_into().unwrap());
         let (last, over) = self.said.entry(by).or_default();
         if word != *last + 1 || *over {
@@ -29,14 +29,15 @@
         }
         (*last, self.words) = (word, self.words + 1);
     }
-    fn began(&mut self, at: Index, by: (Member, Life)) {
-        let open = self.said.iter().find(|((m, life), (_, over))| *m == by.0 && *life < by.1 && !over);
+    fn began(&mut self, at: Index, by: (Member, Incarnation)) {
+        let open =
+            self.said.iter().find(|((m, incarnation), (_, over))| *m == by.0 && *incarnation < by.1 && !over);
         if let Some((before, _)) = open {
             self.wrong = Some(format!("entry {at}: {by:?} began while {before:?} had not ended"));
         }
         self.said.entry(by).or_default();
     }
-    fn over(&mut self, _: Index, of: (Member, Life)) {
+    fn ended(&mut self, _: Index, of: (Member, Incarnation)) {
         self.said.entry(of).or_default().1 = true;
     }
     fn save(&self) -> Vec<u8> {
@@ -44,7 +45,7 @@
         postcard::to_allocvec(&(said, self.words, &self.wrong)).unwrap()
     }
     fn load(bytes: &[u8]) -> Option<Tally> {
-        type Saved = (Vec<((Member, Life), (u64, bool))>, u64, Option<String>);
+        type Saved = (Vec<((Member, Incarnation), (u64, bool))>, u64, Option<String>);
         let (said, words, wrong): Saved = postcard::from_bytes(bytes).ok()?;
         Some(Tally { said: said.into_iter().collect(), words, wrong })
     }
@@ -78,7 +79,7 @@
     pub words: u64,
     pub faults: Vec<(u64, Fault)>,
     pub end: u64,
-    pub flaw: Option<Flaw>,
+    pub mutant: Option<Mutant>,
 }
 
 struct Host {
@@ -107,7 +108,7 @@
 #[derive(Debug, Default, Clone)]
 pub struct Seen {
     pub broken: Option<(u64, String)>,
-    pub lives: u64,
+    pub incarnations: u64,
     pub ends: u64,
     pub words: u64,
     pub messages: u64,
@@ -130,9 +131,9 @@
     free: Vec<usize>,
     count: u64,
     cuts: BTreeSet<(usize, usize)>,
-    ended: BTreeSet<Life>,
+    ended: BTreeSet<Incarnation>,
     states: BTreeMap<Index, Vec<u8>>,
-    spoken: BTreeMap<(Member, Life, u64), u64>,
+    spoken: BTreeMap<(Member, Incarnation, u64), u64>,
     pub seen: Seen,
 }
 
@@ -196,7 +197,7 @@
         let me = h as Member;
         let (now, terms) = (self.clock(h), self.plan.terms.clone());
         let setup = Setup { me, zone: (h % 3) as u8, seed: self.rng.random(), terms: terms.clone() };
-        let forgets = self.plan.flaw == Some(Flaw::VoterForgets);
+        let forgets = self.plan.mutant == Some(Mutant::VoterForgets);
         let node = if terms.voters.contains(&me) {
             let kept =
                 if forgets { Node::<Tally>::begin(&terms) } else { self.hosts[h].disk.read(&terms).unwrap() };
@@ -205,7 +206,8 @@
             Node::follower(setup, Tally::default()).unwrap()
         };
         let host = &mut self.hosts[h];
-        (host.node, host.stopped, host.writing) = (Some(node.flawed(now, self.plan.flaw)), false, None);
+        (host.node, host.stopped, host.writing) =
+            (Some(node.with_mutant(now, self.plan.mutant)), false, None);
         host.missed.clear();
         host.epoch += 1;
         host.at = 0;
@@ -230,21 +232,21 @@
                     let took = self.rng.random_range(0..=self.plan.disk);
                     self.push(self.now + took, Event::Written(h, epoch));
                 }
-                Output::Event(_, badgerwind_register::Event::Over(m, life)) => {
-                    if self.ended.insert(life) {
+                Output::Event(_, badgerwind_register::Event::Ended(m, incarnation)) => {
+                    if self.ended.insert(incarnation) {
                         self.seen.ends += 1;
                     }
                     self.look(usize::from(m));
                 }
-                Output::Event(_, badgerwind_register::Event::Said(m, life, serial))
+                Output::Event(_, badgerwind_register::Event::Announced(m, incarnation, serial))
                     if usize::from(m) == h =>
                 {
-                    if let Some(at) = self.spoken.remove(&(m, life, serial)) {
+                    if let Some(at) = self.spoken.remove(&(m, incarnation, serial)) {
                         self.seen.took.push(self.now - at);
                     }
                 }
-                Output::Event(_, badgerwind_register::Event::Began(_, life)) => {
-                    self.seen.lives = self.seen.lives.max(life);
+                Output::Event(_, badgerwind_register::Event::Began(_, incarnation)) => {
+                    self.seen.incarnations = self.seen.incarnations.max(incarnation);
                 }
                 Output::TooNew(at) => self.broken(format!("entry {at} cannot be read")),
                 _ => {}
@@ -259,15 +261,15 @@
         self.seen.broken.get_or_insert((at, what));
     }
 
-    /// Whether a member counts itself as living in a life whose end stands somewhere.
+    /// Whether a member counts itself as living in an incarnation whose end stands somewhere.
     fn look(&mut self, h: usize) {
         let now = self.clock(h);
         if self.hosts[h].stopped {
             return;
         }
-        let life = self.hosts[h].node.as_ref().and_then(|n| n.alive(now));
-        if let Some(life) = life.filter(|l| self.ended.contains(l)) {
-            self.broken(format!("member {h} acts in life {life}, whose end stands"));
+        let incarnation = self.hosts[h].node.as_ref().and_then(|n| n.alive(now));
+        if let Some(incarnation) = incarnation.filter(|l| self.ended.contains(l)) {
+            self.broken(format!("member {h} acts in incarnation {incarnation}, whose end stands"));
         }
     }
 
@@ -356,16 +358,16 @@
                 let mut said = None;
                 let at = self.now;
                 self.act(h, |n, now, out| {
-                    // Each word says how manieth of its life it is.
-                    let Some(life) = n.alive(now) else { return };
-                    let next = n.said(life) + 1;
-                    said = n.say(now, next.to_be_bytes().to_vec(), out).ok();
+                    // Each word says how manieth of its incarnation it is.
+                    let Some(incarnation) = n.alive(now) else { return };
+                    let next = n.announced(incarnation) + 1;
+                    said = n.announce(now, next.to_be_bytes().to_vec(), out).ok();
                     if let Some((_, serial)) = said {
-                        assert_eq!(serial, next, "serials follow each other within a life");
+                        assert_eq!(serial, next, "serials follow each other within an incarnation");
                     }
                 });
-                if let Some((life, serial)) = said {
-                    self.spoken.insert((h as Member, life, serial), at);
+                if let Some((incarnation, serial)) = said {
+                    self.spoken.insert((h as Member, incarnation, serial), at);
                     self.hosts[h].said = serial;
                 }
             }
@@ -379,7 +381,7 @@
                 self.act(h, |n, now, out| n.on(now, Input::Heard(from as Member, message), out));
             }
             Event::Fault(n) => self.fault(self.plan.faults[n].1.clone()),
-            _ => {} // of a life before
+            _ => {} // of an incarnation before
         }
     }
 
@@ -432,7 +434,7 @@
         tick: 20 * MS,
         patience: 5,
         drift: [0, 10_000, 80_000][rng.random_range(0..3)],
-        kept: [16, 4096][rng.random_range(0..2)],
+        retained: [16, 4096][rng.random_range(0..2)],
         batch: [1024, 65536][rng.random_range(0..2)],
         under_way: 64,
         voters: (0..voters as Member).collect(),
@@ -481,6 +483,6 @@
         words: 40 * MS,
         faults,
         end,
-        flaw: None,
+        mutant: None,
     }
 }
--- a/crates/badgerwind-rig/src/member.rs
+++ b/crates/badgerwind-rig/src/member.rs
@@ -72,7 +72,7 @@
     /// As the register has them.
     pub fn terms(&self) -> Terms {
         let Trial { voters, lease, beat, drift } = self.clone();
-        Terms { lease, beat, drift, kept: 256, ..Terms::of(voters) }
+        Terms { lease, beat, drift, retained: 256, ..Terms::of(voters) }
     }
 }
 
@@ -126,8 +126,8 @@
         }
         let event = match *event {
             Event::Began(of, life) => Told::Began { of, life },
-            Event::Over(of, life) => Told::Over { of, life },
-            Event::Said(of, life, serial) => Told::Said { of, life, serial },
+            Event::Ended(of, life) => Told::Over { of, life },
+            Event::Announced(of, life, serial) => Told::Said { of, life, serial },
         };
         self.record.write(at, What::Told { entry, event });
     }
@@ -180,7 +180,7 @@
                 // Refused where the lease ran out in between, or too many wait: there is a next time.
                 let mut bytes = turn.to_be_bytes().to_vec();
                 bytes.resize(args.record_bytes as usize, 0);
-                let _ = smol::block_on(member.say(bytes));
+                let _ = smol::block_on(member.announce(bytes));
             }
         }
         std::thread::sleep(Duration::from_millis(args.look_every));
--- a/crates/badgerwind-scale/src/rows/register.rs
+++ b/crates/badgerwind-scale/src/rows/register.rs
@@ -243,7 +243,7 @@
         plan.entries_kept = ENTRIES_KEPT_APART;
     }
     let mut group = if hour == Hour::Start { Group::new(plan) } else { settled(plan, row)? };
-    let ended_before = group.lives_ended();
+    let ended_before = group.incarnations_ended();
     group.begin_counts();
     let (until_leased, until_leader) = match hour {
         Hour::Start => {
@@ -282,7 +282,7 @@
         follower: group.peaks().busiest(&group.followers()),
         until_leased,
         until_leader,
-        lives_ended: (group.lives_ended() - ended_before) as u64,
+        lives_ended: (group.incarnations_ended() - ended_before) as u64,
     })
 }
 
--- a/crates/badgerwind-scale/src/rows/register/group.rs
+++ b/crates/badgerwind-scale/src/rows/register/group.rs
@@ -3,8 +3,8 @@
 use crate::rows::load::{Peaks, Processor, SLICE};
 use crate::rows::network::{Conditions, Event, Micros, Network, MILLISECOND};
 use badgerwind_register::{
-    Event as LogEvent, Index, Input, Life, Member, MemoryDisk, Message, Node, Output, Part, Setup, Terms,
-    Write,
+    Event as LogEvent, Incarnation, Index, Input, Member, MemoryDisk, Message, Node, Output, Part, Setup,
+    Terms, Write,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -62,10 +62,10 @@
 struct Counting(u64);
 
 impl Part for Counting {
-    fn said(&mut self, _: Index, _: (Member, Life), _: &[u8]) {
+    fn announced(&mut self, _: Index, _: (Member, Incarnation), _: &[u8]) {
         self.0 += 1;
     }
-    fn over(&mut self, _: Index, _: (Member, Life)) {}
+    fn ended(&mut self, _: Index, _: (Member, Incarnation)) {}
     fn save(&self) -> Vec<u8> {
         self.0.to_be_bytes().to_vec()
     }
@@ -94,7 +94,7 @@
     hosts: Vec<Host>,
     next_writer: usize,
     next_record: Micros,
-    lives_ended: BTreeSet<Life>,
+    incarnations_ended: BTreeSet<Incarnation>,
     peaks: Peaks,
     /// Processor time of members that are watched.
     pub processor: Processor,
@@ -110,7 +110,7 @@
 impl Group {
     /// A group of which nobody runs yet.
     pub fn new(plan: Plan) -> Group {
-        let terms = Terms { kept: plan.entries_kept, ..Terms::of(voters(plan.members)) };
+        let terms = Terms { retained: plan.entries_kept, ..Terms::of(voters(plan.members)) };
         let conditions = Conditions { drift: u64::from(terms.drift), ..plan.conditions };
         let network = Network::new(conditions, plan.members, plan.seed);
         let host = |_| Host { node: None, disk: MemoryDisk::default(), writing: None };
@@ -122,7 +122,7 @@
             hosts: (0..plan.members).map(host).collect(),
             next_writer: 0,
             next_record: 0,
-            lives_ended: BTreeSet::new(),
+            incarnations_ended: BTreeSet::new(),
             processor: Processor::new(plan.members),
             plan,
         }
@@ -265,9 +265,9 @@
         self.hosts.iter().filter(|host| host.node.is_some()).count()
     }
 
-    /// Lives whose end any member has applied.
-    pub fn lives_ended(&self) -> usize {
-        self.lives_ended.len()
+    /// Incarnations whose end any member has applied.
+    pub fn incarnations_ended(&self) -> usize {
+        self.incarnations_ended.len()
     }
 
     /// Takes a member's node out, to be weighed.
@@ -302,7 +302,7 @@
     fn write_record(&mut self, member: usize) {
         self.act(member, |node, now, out| {
             // Refused without a lease: the next one has its chance.
-            let _ = node.say(now, vec![7; RECORD_BYTES], out);
+            let _ = node.announce(now, vec![7; RECORD_BYTES], out);
         });
     }
 
@@ -325,12 +325,12 @@
             match output {
                 Output::Send(to, message) => sends.push((usize::from(to), kind(&message), message.bytes())),
                 Output::Write(write) => writes = Some(write),
-                Output::Event(_, LogEvent::Over(_, life)) => ended.push(life),
+                Output::Event(_, LogEvent::Ended(_, incarnation)) => ended.push(incarnation),
                 Output::Event(..) | Output::Lost(_) | Output::TooNew(_) => {}
             }
         }
         self.processor.stop(member, meter);
-        self.lives_ended.extend(ended);
+        self.incarnations_ended.extend(ended);
         if let Some(write) = writes {
             let took = self.rng.random_range(0..=DISK);
             self.hosts[member].writing = Some(write);
