Names of the configuration package: storage for what is stored, order limit for the ration

The earlier house style gives way to standard names: keep -> storage (write, read -> encode, decode; KeepError -> StorageError), ration -> order_limit (Ration -> OrderLimit; took, order -> record_call, try_order). Callers in the gateway and the scale tests follow.

--- a/crates/badgerwind-config/src/lib.rs
+++ b/crates/badgerwind-config/src/lib.rs
@@ -1,4 +1,4 @@
-//! Configuration in numbered versions: what a front end makes of each offer, what it keeps over a restart, how a
+//! Configuration in numbered versions: what a front end makes of each offer, what it stores over a restart, how a
 //! change is tried without effects first, and how a control service lets one out in waves. No I/O; time and chance
 //! come in as arguments.
 //!
@@ -6,10 +6,10 @@
 //! (`docs/protocols/config-stream.md`).
 
 pub mod client;
-pub mod keep;
+pub mod order_limit;
 pub mod parts;
-pub mod ration;
 pub mod shadow;
+pub mod storage;
 pub mod waves;
 pub mod wire;
 
--- a/crates/badgerwind-config/src/ration.rs
+++ b/crates/badgerwind-config/src/order_limit.rs
@@ -7,7 +7,7 @@
 
 /// The limit on load orders of one front end, whichever module gives them.
 #[derive(Debug)]
-pub struct Ration {
+pub struct OrderLimit {
     window: Span,
     free: f64,
     share: f64,
@@ -15,10 +15,10 @@
     taken: VecDeque<Time>,
 }
 
-impl Ration {
+impl OrderLimit {
     /// A limit with nothing counted yet. A window of 0 is no limit.
     pub fn new(window: Span, free: f64, share: f64) -> Self {
-        Ration { window, free, share, orders: VecDeque::new(), taken: VecDeque::new() }
+        OrderLimit { window, free, share, orders: VecDeque::new(), taken: VecDeque::new() }
     }
 
     /// Another limit from now on. What was counted stays, and for one window of either the stricter figures hold:
@@ -38,7 +38,7 @@
     }
 
     /// A call was taken.
-    pub fn took(&mut self, now: Time) {
+    pub fn record_call(&mut self, now: Time) {
         if self.window > 0 {
             self.taken.push_back(now);
             self.forget(now);
@@ -46,7 +46,7 @@
     }
 
     /// Whether one more order may go out now; it is counted if so.
-    pub fn order(&mut self, now: Time) -> bool {
+    pub fn try_order(&mut self, now: Time) -> bool {
         if self.window == 0 {
             return true;
         }
@@ -61,5 +61,5 @@
 }
 
 #[cfg(test)]
-#[path = "../tests/unit/ration.rs"]
+#[path = "../tests/unit/order_limit.rs"]
 mod tests;
--- a/crates/badgerwind-config/src/keep.rs
+++ b/crates/badgerwind-config/src/storage.rs
@@ -1,4 +1,4 @@
-//! The set that runs, as it is kept on disk: one file for all types, so that a change of two is kept whole or not
+//! The set that runs, as it is stored on disk: one file for all types, so that a change of two is stored whole or not
 //! at all. A file that is torn, cut or foreign is told apart by its sum.
 
 use crate::parts::{Kind, Part, MOST_BYTES};
@@ -9,7 +9,7 @@
 
 /// Why a file cannot be used.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
-pub enum KeepError {
+pub enum StorageError {
     /// Not such a file, or of another form.
     #[error("it does not begin with \"{FIRST}\"")]
     Foreign,
@@ -22,7 +22,7 @@
 }
 
 /// A set as bytes.
-pub fn write(parts: &[Part]) -> Vec<u8> {
+pub fn encode(parts: &[Part]) -> Vec<u8> {
     let mut text = format!("{FIRST}\n");
     for p in parts {
         // Writing to a `String` cannot fail.
@@ -38,21 +38,22 @@
 }
 
 /// A set from bytes.
-pub fn read(bytes: &[u8]) -> Result<Vec<Part>, KeepError> {
+pub fn decode(bytes: &[u8]) -> Result<Vec<Part>, StorageError> {
     if !bytes.starts_with(FIRST.as_bytes()) {
-        return Err(KeepError::Foreign);
+        return Err(StorageError::Foreign);
     }
     const TAIL: usize = "sha256 ".len() + 64 + 1;
-    let at = bytes.len().checked_sub(TAIL).ok_or(KeepError::Sum)?;
+    let at = bytes.len().checked_sub(TAIL).ok_or(StorageError::Sum)?;
     let mut want = String::from("sha256 ");
     Sha256::digest(&bytes[..at]).iter().for_each(|b| _ = write!(want, "{b:02x}"));
     want.push('\n');
     if want.as_bytes() != &bytes[at..] {
-        return Err(KeepError::Sum);
+        return Err(StorageError::Sum);
     }
-    let content = |what: &str| KeepError::Content(what.into());
+    let content = |what: &str| StorageError::Content(what.into());
     let text = std::str::from_utf8(&bytes[..at]).map_err(|_| content("not UTF-8"))?;
-    let mut rest = text.strip_prefix(FIRST).and_then(|t| t.strip_prefix('\n')).ok_or(KeepError::Foreign)?;
+    let mut rest =
+        text.strip_prefix(FIRST).and_then(|t| t.strip_prefix('\n')).ok_or(StorageError::Foreign)?;
     let mut parts = Vec::new();
     while !rest.is_empty() {
         let (line, after) = rest.split_once('\n').ok_or_else(|| content("half a line"))?;
--- a/crates/badgerwind-config/tests/machine.rs
+++ b/crates/badgerwind-config/tests/machine.rs
@@ -2,8 +2,8 @@
 //! any order of events.
 
 use badgerwind_config::client::{Client, Do, Input, Phase, Times};
-use badgerwind_config::keep;
 use badgerwind_config::parts::{Kind, Part};
+use badgerwind_config::storage;
 use badgerwind_config::wire::*;
 use badgerwind_settings::document::parse;
 use proptest::prelude::*;
@@ -343,19 +343,19 @@
 fn a_kept_set_is_read_back_and_any_cut_or_change_is_told() {
     let read = |kind, version, text: &str| Part::read(kind, version, text).unwrap();
     let parts = [read(Kind::Classes, 7, &both(900)), read(Kind::Routes, 3, &routes("a"))];
-    let bytes = keep::write(&parts);
-    let back = keep::read(&bytes).unwrap();
+    let bytes = storage::encode(&parts);
+    let back = storage::decode(&bytes).unwrap();
     let names: Vec<_> = back.iter().map(|p| (p.kind, p.version)).collect();
     assert_eq!(names, [(Kind::Classes, 7), (Kind::Routes, 3)]);
     assert_eq!(back[0].digest, parts[0].digest);
-    assert!(keep::read(&keep::write(&[])).unwrap().is_empty());
+    assert!(storage::decode(&storage::encode(&[])).unwrap().is_empty());
     for n in 0..bytes.len() {
-        assert!(keep::read(&bytes[..n]).is_err(), "cut at {n}");
+        assert!(storage::decode(&bytes[..n]).is_err(), "cut at {n}");
         let mut other = bytes.clone();
         other[n] ^= 1;
-        assert!(keep::read(&other).is_err(), "changed at {n}");
+        assert!(storage::decode(&other).is_err(), "changed at {n}");
     }
-    assert_eq!(keep::read(b"runners.json").unwrap_err(), keep::KeepError::Foreign);
+    assert_eq!(storage::decode(b"runners.json").unwrap_err(), storage::StorageError::Foreign);
 }
 
 // ---- Any service, any shell. ----
@@ -475,7 +475,7 @@
                 }
                 Step::Restart => {
                     // Killed at any moment: it begins with what was kept, which is what ran or what was about to.
-                    let kept = keep::read(&keep::write(&stored)).unwrap();
+                    let kept = storage::decode(&storage::encode(&stored)).unwrap();
                     let (fresh, _, problems) = Client::new(name(), file.clone(), kept, TIMES).unwrap();
                     prop_assert!(problems.is_empty(), "{:?}", problems);
                     client = fresh;
--- a/crates/badgerwind-gateway/src/control.rs
+++ b/crates/badgerwind-gateway/src/control.rs
@@ -16,7 +16,7 @@
 use badgerwind_config::parts::{Kind, Part};
 use badgerwind_config::shadow::{limits, shadow, Recorded};
 use badgerwind_config::wire::{DiscoveryRequest, DiscoveryResponse, Health};
-use badgerwind_config::{keep, Report};
+use badgerwind_config::{storage, Report};
 use badgerwind_http::{Exchange, Pool, PoolBounds};
 use badgerwind_settings::document::Node;
 use badgerwind_settings::{Control as ControlSettings, Problem, Settings};
@@ -48,7 +48,7 @@
     let mut told = Vec::new();
     for file in [path.to_owned(), before(path)] {
         match std::fs::read(&file) {
-            Ok(bytes) => match keep::read(&bytes) {
+            Ok(bytes) => match storage::decode(&bytes) {
                 Ok(parts) => return (parts, told),
                 Err(e) => told.push(format!("{} is passed over: {e}", file.display())),
             },
@@ -67,7 +67,7 @@
 fn write_kept(path: &Path, parts: &[Part]) -> std::io::Result<()> {
     let beside = path.with_extension("new");
     let mut file = std::fs::File::create(&beside)?;
-    file.write_all(&keep::write(parts))?;
+    file.write_all(&storage::encode(parts))?;
     file.sync_all()?;
     // A second name for the old set, so that there is a whole one at every moment.
     let old = before(path);
--- a/crates/badgerwind-gateway/src/engine.rs
+++ b/crates/badgerwind-gateway/src/engine.rs
@@ -5,7 +5,7 @@
 use crate::clock::Clock;
 use async_channel::{Receiver, Sender};
 use badgerwind::interface::*;
-use badgerwind_config::ration::Ration;
+use badgerwind_config::order_limit::OrderLimit;
 use badgerwind_driver::{Call, Decider, Driver, Failure, Final, Input, Lag, Limits, Output, Refusal};
 use futures_lite::FutureExt;
 use smol::Timer;
@@ -132,7 +132,7 @@
     leaving: Vec<Leaving<B>>,
     waiting: VecDeque<Change>,
     workers: BTreeMap<WorkerId, WorkerEntry>,
-    ration: Ration,
+    order_limit: OrderLimit,
     /// What of the fleet's wholes is this front end's own: a module that begins is told.
     parts: Option<Parts>,
 }
@@ -145,7 +145,7 @@
             leaving: Vec::new(),
             waiting: VecDeque::new(),
             workers: BTreeMap::new(),
-            ration: Ration::new(t.load_window, t.load_free, t.load_share),
+            order_limit: OrderLimit::new(t.load_window, t.load_free, t.load_share),
             parts: None,
         }
     }
@@ -158,7 +158,7 @@
             let holder = |id: &RequestId| self.leaving.iter().position(|l| l.driver.holds(id));
             let place = match &input {
                 Input::Call(call) => {
-                    self.ration.took(now);
+                    self.order_limit.record_call(now);
                     let number = B::module(&call.content);
                     let place = self.leaving.iter().position(|l| l.number == number);
                     if number != self.number && place.is_none() {
@@ -228,7 +228,7 @@
         let fresh = Driver::new(decider, terms.limits).numbered_from(self.number << NUMBERS);
         let old = std::mem::replace(&mut self.newest, fresh);
         self.leaving.push(Leaving { number: self.number - 1, driver: old, until: now + ON_THE_WAY });
-        self.ration.change(terms.load_window, terms.load_free, terms.load_share);
+        self.order_limit.change(terms.load_window, terms.load_free, terms.load_share);
         let entries = self.workers.values().cloned().collect();
         let list = Input::List { kind: ListKind::Whole, entries };
         self.newest.on(now, self.parts.clone().map(Input::Parts).into_iter().chain([list]), out);
@@ -273,7 +273,7 @@
                     }
                     modules.on(self.clock.now(), batch.drain(..), &mut out);
                     modules.stop(self.clock.now(), &mut out);
-                    self.carry(&mut out, &mut modules.ration, &mut batch);
+                    self.carry(&mut out, &mut modules.order_limit, &mut batch);
                     self.backend.settled(0, Duration::ZERO);
                     return EngineEnd::Asked;
                 }
@@ -307,7 +307,7 @@
             }
             modules.on(self.clock.now(), batch.drain(..), &mut out);
             self.owed.store(modules.owed(), Ordering::Relaxed);
-            let failed = self.carry(&mut out, &mut modules.ration, &mut batch);
+            let failed = self.carry(&mut out, &mut modules.order_limit, &mut batch);
             let took = last.elapsed();
             self.lag
                 .lock()
@@ -316,7 +316,7 @@
             self.backend.settled(modules.owed(), took);
             if let Some(text) = failed {
                 modules.fail_all(self.clock.now(), Failure::ModuleFailed, &mut out);
-                self.carry(&mut out, &mut modules.ration, &mut batch);
+                self.carry(&mut out, &mut modules.order_limit, &mut batch);
                 self.backend.settled(0, Duration::ZERO);
                 return EngineEnd::ModuleFailed(text);
             }
@@ -346,7 +346,7 @@
     fn carry(
         &mut self,
         out: &mut Vec<OutputOf<B>>,
-        ration: &mut Ration,
+        order_limit: &mut OrderLimit,
         again: &mut Vec<InputOf<B>>,
     ) -> Option<String> {
         let (now, mut failed) = (self.clock.now(), None);
@@ -354,7 +354,7 @@
             match output {
                 // Beyond the limit that holds for old and new modules together: it is answered as turned away.
                 Output::Order { order, copies, .. }
-                    if copies > 0 && !(ration.order(now) && self.backend.may_order(now)) =>
+                    if copies > 0 && !(order_limit.try_order(now) && self.backend.may_order(now)) =>
                 {
                     again.push(Input::OrderEnded { order, outcome: Outcome::Full, copies: 0 });
                 }
--- a/crates/badgerwind-scale/src/rows/config.rs
+++ b/crates/badgerwind-scale/src/rows/config.rs
@@ -8,7 +8,7 @@
 use badgerwind::Router;
 use badgerwind_config::client::{Client, Do, Input, Times};
 use badgerwind_config::shadow::{limits, shadow, Recorded};
-use badgerwind_config::{keep, Kind};
+use badgerwind_config::{storage, Kind};
 use badgerwind_control::question::Question;
 use badgerwind_driver::Driver;
 use badgerwind_settings::{read_tree, Settings};
@@ -133,7 +133,7 @@
                 Do::Prepare { ticket, .. } => Input::Prepared { ticket, result: Ok(()) },
                 Do::Store { ticket, parts } => {
                     // What the disk would get; the writing itself is no processor time.
-                    std::hint::black_box(keep::write(&parts));
+                    std::hint::black_box(storage::encode(&parts));
                     Input::Stored { ticket, result: Ok(()) }
                 }
                 Do::Apply { ticket, settings } => {
