--- a/crates/badgerwind-cli/benches/config_processes.rs
+++ b/crates/badgerwind-cli/benches/config_processes.rs
@@ -5,6 +5,7 @@
 
 #[path = "../tests/rig/mod.rs"]
 mod rig;
+#[allow(dead_code)] // this bench uses its part
 #[path = "../tests/rig/truth.rs"]
 mod truth;
 
