Logs and counts tell when service discovery last vouched for the list of executors

The logs of the incident could not show how old the list was: connections were followed, knowledge was not. Nothing is decided by it yet.

--- /dev/null
+++ b/crates/badgerwind-gateway/src/platform/discovery.rs
@@ -0,0 +1,191 @@
+//! The connection to service discovery (the platform's notice board), and how old its word is.
+
+use super::shell::{Input, Shell};
+use super::wire::is_short;
+use badgerwind::interface::Time;
+use badgerwind_freshness::source::{Ending, Transition};
+use badgerwind_platform::board::{BadFrame, Follower, News};
+use badgerwind_platform::config::Places;
+use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
+use smol::{Async, Timer};
+use std::cell::{Cell, RefCell};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::time::Duration;
+
+/// A frame comes each second; after this without one discovery is asked anew.
+const SILENCE: Duration = Duration::from_millis(1_700);
+/// A connection not made by then is tried again.
+const CONNECT: Duration = Duration::from_millis(500);
+/// Pause before it is asked anew: a break is followed at once, then ever less often.
+const FIRST_PAUSE: Duration = Duration::from_millis(20);
+const LAST_PAUSE: Duration = Duration::from_millis(500);
+
+pub(super) struct Discovery {
+    pub address: Cell<SocketAddr>,
+    /// A new address has come: whatever is under way ends.
+    pub changed: event::Changed,
+    pub follower: RefCell<Follower>,
+    pub places: Places,
+}
+
+/// A word to one waiting task.
+pub(super) mod event {
+    use async_channel::{bounded, Receiver, Sender};
+
+    pub(in super::super) struct Changed(Sender<()>, Receiver<()>);
+
+    impl Default for Changed {
+        fn default() -> Self {
+            let (sender, receiver) = bounded(1);
+            Changed(sender, receiver)
+        }
+    }
+
+    impl Changed {
+        pub(in super::super) fn tell(&self) {
+            let _ = self.0.try_send(()); // one word is enough
+        }
+        pub(in super::super) async fn heard(&self) {
+            let _ = self.1.recv().await;
+        }
+    }
+}
+
+/// Why following discovery has to begin anew.
+struct Interruption {
+    how: Ending,
+    what: String,
+}
+
+impl Interruption {
+    fn broken(what: impl ToString) -> Interruption {
+        Interruption { how: Ending::Broken, what: what.to_string() }
+    }
+
+    fn by(error: &std::io::Error) -> Interruption {
+        let how = match error.kind() {
+            std::io::ErrorKind::TimedOut => Ending::Silent,
+            _ => Ending::Broken,
+        };
+        Interruption { how, what: error.to_string() }
+    }
+}
+
+impl Shell {
+    /// Takes news in: where executors are, and what the module is told.
+    pub(super) fn news(&self, news: &News) {
+        self.executors.listed(self.clock.now(), news);
+        let entries = news.entries.iter().map(|l| l.entry.clone()).collect();
+        self.tell(Input::List { kind: news.kind, entries });
+    }
+
+    /// Follows discovery for ever.
+    pub(super) async fn follow(self: Rc<Self>, discovery: Rc<Discovery>) {
+        let mut pause = FIRST_PAUSE;
+        loop {
+            let followed = async { Some(self.frames(&discovery, &mut pause).await) };
+            let changed = async {
+                discovery.changed.heard().await;
+                None
+            };
+            let Some(interruption) = followed.or(changed).await else {
+                self.source.borrow_mut().moved(self.clock.now());
+                pause = FIRST_PAUSE;
+                continue;
+            };
+            self.interrupted(&discovery, &interruption);
+            let changed = async { discovery.changed.heard().await };
+            async { _ = Timer::after(pause).await }.or(changed).await;
+            pause = (pause * 2).min(LAST_PAUSE);
+        }
+    }
+
+    fn interrupted(&self, discovery: &Discovery, Interruption { how, what }: &Interruption) {
+        let now = self.clock.now();
+        self.source.borrow_mut().ended(now, *how);
+        let (address, last) = (discovery.address.get(), discovery.follower.borrow().last());
+        tracing::debug!(%address, "service discovery is asked anew: {what}");
+        if let Some(more) = self.complaints.discovery.may(now) {
+            tracing::warn!(%address, last, more, "service discovery: {what}; it is asked again from the last event");
+        }
+    }
+
+    async fn frames(&self, discovery: &Discovery, pause: &mut Duration) -> Interruption {
+        let connect = Async::<TcpStream>::connect(discovery.address.get());
+        let mut stream = match connect.or(late(CONNECT)).await {
+            Ok(stream) => stream,
+            Err(e) => {
+                if is_short(&e) {
+                    // Those who only hold a connection give way to the news of all executors.
+                    self.clients.evict(self);
+                }
+                return Interruption::by(&e);
+            }
+        };
+        let ask = discovery.follower.borrow_mut().ask();
+        if let Err(e) = stream.write_all(&ask).or(late(CONNECT)).await {
+            return Interruption::by(&e);
+        }
+        let mut buf = vec![0; 16 * 1024];
+        let mut waited_since = self.clock.now();
+        loop {
+            let n = match stream.read(&mut buf).or(late(SILENCE)).await {
+                Ok(0) => return Interruption::broken("it closed"),
+                Ok(n) => n,
+                Err(e) => return Interruption::by(&e),
+            };
+            if let Err(e) = self.take_frames(discovery, &buf[..n], &mut waited_since) {
+                return Interruption::broken(e);
+            }
+            *pause = FIRST_PAUSE;
+        }
+    }
+
+    /// Takes in what was read. The next frame is waited for from now on, unless a part of it has come already.
+    fn take_frames(
+        &self,
+        discovery: &Discovery,
+        bytes: &[u8],
+        waited_since: &mut Time,
+    ) -> Result<(), BadFrame> {
+        let mut news = Vec::new();
+        let mut follower = discovery.follower.borrow_mut();
+        let fed = follower.feed(&discovery.places, bytes, &mut news);
+        let (heard, partial) = (follower.heard(), follower.partial());
+        drop(follower);
+        news.iter().for_each(|n| self.news(n));
+        self.source.borrow_mut().heard(*waited_since, heard);
+        self.report_source();
+        if !partial {
+            *waited_since = self.clock.now();
+        }
+        fed
+    }
+
+    /// Tells the log when the list becomes stale or fresh, and what that cost.
+    pub(super) fn report_source(&self) {
+        let now = self.clock.now();
+        let Some(transition) = self.source.borrow_mut().transition(now) else { return };
+        match transition {
+            Transition::Stale { age } => {
+                let mut counters = self.counters.borrow_mut();
+                counters.outages += 1;
+                self.counted.set(*counters);
+                tracing::warn!(
+                    age_us = age,
+                    "the list of executors is stale: service discovery has not vouched for it"
+                );
+            }
+            Transition::Fresh { lasted } => {
+                let cost = self.counters.borrow().since(&self.counted.get());
+                tracing::info!(lasted_us = lasted, ?cost, "the list of executors is fresh again");
+            }
+        }
+    }
+}
+
+async fn late<T>(after: Duration) -> std::io::Result<T> {
+    Timer::after(after).await;
+    Err(std::io::ErrorKind::TimedOut.into())
+}
--- a/crates/badgerwind-gateway/src/platform/executors.rs
+++ b/crates/badgerwind-gateway/src/platform/executors.rs
@@ -470,9 +470,13 @@
                 let kind = self.names.classes.get(content.class).map_or("", String::as_str);
                 let (id, obj, body) = (&*content.id, &*content.key, &*content.body);
                 line::call(out, &line::Call { id, kind, obj, ms, body });
+                self.count_sent(now);
             }
             Task::Order { copies, .. } if barred && *copies > 0 => return false,
             Task::Order { order, key, copies } => {
+                if *copies > 0 {
+                    self.count_sent(now);
+                }
                 line::load(out, &badgerwind_platform::link::order_tag(*order), key, *copies);
             }
             Task::Probe(number) => line::probe(out, &badgerwind_platform::link::probe_tag(*number)),
@@ -481,6 +485,13 @@
         true
     }
 
+    /// Counts work that begins to go out while the list of executors is stale.
+    fn count_sent(&self, now: Time) {
+        if !self.source.borrow().fresh(now) {
+            self.counters.borrow_mut().sent_while_stale += 1;
+        }
+    }
+
     /// Whether a call must not run twice, whatever becomes of its connection.
     fn once(&self, content: &Content) -> bool {
         self.set.classes.get(content.class).is_some_and(|c| c.effect == Effect::Once)
@@ -551,6 +562,23 @@
         }
     }
 
+    /// Counts work that an executor turned away while the list of executors is stale: it may have begun to drain.
+    fn turned_away_while_stale(&self, now: Time, worker: WorkerId, end: &End<Out>) {
+        let request = match end {
+            End::Attempt(id, _, end) if end.outcome == Outcome::Full => &**id,
+            End::Order(_, Outcome::Full, _) => "",
+            _ => return,
+        };
+        if self.source.borrow().fresh(now) {
+            return;
+        }
+        self.counters.borrow_mut().turned_away_while_stale += 1;
+        if let Some(more) = self.complaints.turned_away.may(now) {
+            let worker = format_args!("s-{worker:08x}");
+            tracing::warn!(%worker, request, more, "an executor turned work away while the list of executors is stale");
+        }
+    }
+
     /// A connection's life.
     async fn drive(self: Rc<Self>, c: Rc<Connection>, address: SocketAddr) {
         self.connected(&c, address).await;
@@ -636,6 +664,7 @@
                     self.executors.sharing.borrow_mut().answered();
                 }
                 self.at_the_door(c, &end);
+                self.turned_away_while_stale(now, c.worker, &end);
                 self.end(c.worker, end, Outcome::ConnectFailed);
             }
             if let Err(e) = fed {
--- a/crates/badgerwind-gateway/src/platform/mod.rs
+++ b/crates/badgerwind-gateway/src/platform/mod.rs
@@ -1,8 +1,8 @@
 //! The platform front: the same engine and driver, with web servers' FastCGI on one side and executors' lines on the
 //! other, all on one thread. Nothing here decides where a call goes or whether it is tried again.
 
-mod board;
 mod clients;
+mod discovery;
 mod executors;
 mod seldom;
 mod shell;
@@ -15,7 +15,7 @@
 use badgerwind_driver::{Decider, Limits};
 use badgerwind_platform::board::Follower;
 use badgerwind_platform::config::{self, BadConfig, Config};
-use board::Board;
+use discovery::Discovery;
 use futures_lite::{FutureExt, StreamExt};
 use shell::{Platform, Shell};
 use smol::{Async, Timer};
@@ -127,14 +127,14 @@
     let decider: Box<dyn Decider + Send> = Box::new(Router::new(config.seed, config.router.clone()));
     let terms = Terms::new(limits(&config, shell.shares.open), &config.router);
     config.known.iter().for_each(|n| shell.news(n));
-    let board = Rc::new(Board {
+    let discovery = Rc::new(Discovery {
         address: Cell::new(config.board),
         changed: Default::default(),
         follower: RefCell::new(Follower::new(config.last)),
         places: config.places(),
     });
     let tasks = &shell.tasks;
-    tasks.spawn(shell.clone().follow(board.clone())).detach();
+    tasks.spawn(shell.clone().follow(discovery.clone())).detach();
     tasks.spawn(shell.clone().sweeps()).detach();
     let hear = shell.clone();
     tasks
@@ -151,7 +151,7 @@
     let ended = tasks.spawn(engine.run(decider, terms));
     let mut signals = signals;
     let stop = async {
-        shell.signals(&mut signals, (&options.config, &ours), &board).await;
+        shell.signals(&mut signals, (&options.config, &ours), &discovery).await;
         let longest = Duration::from_micros(longest).min(LONGEST_DEADLINE);
         let further = async {
             // One that is told twice to stop stops no sooner: what it took is still owed.
@@ -179,11 +179,12 @@
             let now = self.clock.now();
             self.clients.sweep(&self, now);
             self.executors.sweep(&self, now);
+            self.report_source();
         }
     }
 
     /// Takes SIGHUP until SIGTERM or SIGINT comes.
-    async fn signals(&self, signals: &mut Signals, (path, ours): (&Path, &Config), board: &Board) {
+    async fn signals(&self, signals: &mut Signals, (path, ours): (&Path, &Config), discovery: &Discovery) {
         while let Some(signal) = signals.next().await {
             if !matches!(signal, Ok(Signal::Hup)) {
                 return;
@@ -196,7 +197,7 @@
             });
             match read {
                 Ok((address, changes)) => {
-                    tracing::info!(board = %address, "the configuration was read again: the notice board's address is taken over");
+                    tracing::info!(board = %address, "the configuration was read again: the address of service discovery is taken over");
                     if !changes.is_empty() {
                         let what = changes.join(", ");
                         tracing::warn!(
@@ -204,8 +205,8 @@
                             file()
                         );
                     }
-                    board.address.set(address);
-                    board.changed.tell();
+                    discovery.address.set(address);
+                    discovery.changed.tell();
                 }
                 Err(e) => tracing::error!("the configuration stays as it was: {e}"),
             }
--- a/crates/badgerwind-gateway/src/platform/seldom.rs
+++ b/crates/badgerwind-gateway/src/platform/seldom.rs
@@ -34,8 +34,10 @@
     pub request: Seldom,
     /// Answers that cannot be read.
     pub answer: Seldom,
-    /// The notice board: what it sent, and that it cannot be had.
-    pub board: Seldom,
+    /// Service discovery: what it sent, and that it cannot be had.
+    pub discovery: Seldom,
+    /// Executors that turn work away while the list of them is stale.
+    pub turned_away: Seldom,
     /// Datagrams that cannot be used.
     pub datagram: Seldom,
     /// Descriptors that are short for connections to executors.
--- a/crates/badgerwind-gateway/src/platform/shell.rs
+++ b/crates/badgerwind-gateway/src/platform/shell.rs
@@ -9,6 +9,8 @@
 use async_channel::Sender;
 use badgerwind::interface::*;
 use badgerwind_driver::Output;
+use badgerwind_freshness::counters::Counters;
+use badgerwind_freshness::source::SourceWatch;
 use badgerwind_instance::{Names, Transport};
 use badgerwind_platform::config::Config;
 use badgerwind_platform::shares::Shares;
@@ -53,6 +55,11 @@
     pub executors: Executors,
     pub peers: Option<Peers>,
     pub complaints: Complaints,
+    /// How old the list of executors is.
+    pub source: RefCell<SourceWatch>,
+    pub counters: RefCell<Counters>,
+    /// As they stood when the list became stale last.
+    pub counted: Cell<Counters>,
     /// SIGTERM has come.
     pub stopping: Cell<bool>,
     /// The time in which calls still come after it is over.
@@ -97,6 +104,9 @@
             executors: Executors::new(config.transport.connect_timeout),
             peers,
             complaints: Complaints::default(),
+            source: RefCell::new(SourceWatch::new(0)),
+            counters: RefCell::default(),
+            counted: Cell::default(),
             stopping: Cell::new(false),
             closed: Cell::new(false),
         }))
--- a/crates/badgerwind-platform/src/board.rs
+++ b/crates/badgerwind-platform/src/board.rs
@@ -2,6 +2,7 @@
 
 use crate::config::Places;
 use badgerwind::interface::{Availability, ListKind, WorkerEntry, WorkerId};
+use badgerwind_freshness::source::Heard;
 use std::collections::BTreeMap;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 
@@ -62,6 +63,8 @@
     /// so they are gathered until they have caught up with what was told before.
     replay: Option<Replay>,
     come: Vec<u8>,
+    /// The most that the frames since the last look have told.
+    heard: Option<Heard>,
 }
 
 /// The list as it was after some event.
@@ -95,7 +98,7 @@
     /// A new connection begins: what is to be written on it.
     pub fn ask(&mut self) -> [u8; 8] {
         self.come.clear();
-        self.replay = None;
+        (self.replay, self.heard) = (None, None);
         if self.from_start { 0 } else { self.last }.to_be_bytes()
     }
 
@@ -104,6 +107,16 @@
         self.last
     }
 
+    /// What the whole frames that came since this was last asked are worth.
+    pub fn heard(&mut self) -> Heard {
+        self.heard.take().unwrap_or(Heard::Nothing)
+    }
+
+    /// Whether a frame has begun to come and is not whole.
+    pub fn partial(&self) -> bool {
+        !self.come.is_empty()
+    }
+
     /// Takes bytes in. After an error the board is asked anew.
     pub fn feed(&mut self, places: &Places, bytes: &[u8], news: &mut Vec<News>) -> Result<(), BadFrame> {
         self.come.extend_from_slice(bytes);
@@ -130,8 +143,13 @@
         let at = self.replay.as_ref().map_or(self.last, |r| r.at);
         let kind = match kind {
             0 if number > at => return Err(self.gap(number)),
-            // While events are told again it says no more than how far that has come.
-            0 => return Ok(()),
+            0 => {
+                // While events are told again, or where it knows less than was told before, it vouches for nothing.
+                if self.replay.is_none() && number == self.last && !self.from_start {
+                    self.heard = Some(Heard::UpToDate);
+                }
+                return Ok(());
+            }
             1 => ListKind::Whole,
             2 => ListKind::Changes,
             other => return Err(BadFrame::Kind(*other)),
@@ -149,6 +167,7 @@
         }
         let entries = payload.chunks_exact(RECORD).map(|r| record(places, r)).collect::<Option<Vec<_>>>();
         let entries = entries.ok_or(BadFrame::Record)?;
+        self.heard = self.heard.max(Some(Heard::Events));
         let told = News { kind, entries };
         if begins {
             self.replay = Some(Replay::default());
