Failing test: work goes to draining executors while discovery is out of reach

Reproduction on real processes over loopback: two or four front ends, eight executors, 40 calls a second each; discovery falls silent, refuses connections, or ends them and is silent on new ones; the two busiest executors drain 0.3 s later, are gone after 7 s and replaced after 8 s. The stand-in for discovery can end and refuse connections, that of an executor can end.

--- a/crates/badgerwind-cli/tests/platform/main.rs
+++ b/crates/badgerwind-cli/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod hostile;
 mod life;
 mod newcomers;
+mod outages;
 mod peers;
 mod rig;
 mod terms;
--- /dev/null
+++ b/crates/badgerwind-cli/tests/platform/outages.rs
@@ -0,0 +1,325 @@
+//! Service discovery out of reach for longer than the protocol's clocks, while busy executors drain.
+//!
+//! What users saw: executors that drained went on being sent calls and orders to load, by every front end, until discovery
+//! was back; the calls were turned away and served elsewhere, so that no client noticed, and the drain rule was broken.
+//! Order of events: discovery goes out of reach; two busy executors begin to drain and stay up; 2 s after a break or 4 s
+//! after silence began the drain counts as told; 0.3 s of grace later sends go on as before; both go, and another process
+//! listens at their addresses.
+//! Cause: the list of executors had no age. Discovery tells changes only, so that its silence read as "nothing changed".
+//! Evidence: sends to the draining executors keep their rate through the outage, and end within the grace once the event is
+//! written (`Outage::judge`); each one is turned away, and the next call goes there all the same.
+
+use crate::rig::{id, Front};
+use badgerwind_standins::platform::board::{record, Board, Mood};
+use badgerwind_standins::platform::executor::{hit, say, well, Do, Executor, Seen};
+use badgerwind_standins::platform::web::Ask;
+use badgerwind_standins::platform::{configuration, member, until};
+use serde_json::Value;
+use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+const READY: u8 = 0;
+const DRAINING: u8 = 1;
+const GONE: u8 = 2;
+
+const EXECUTORS: usize = 8;
+/// Functions that are called; all executors are in use.
+const FUNCTIONS: u64 = 24;
+/// Senders at each front end, and the pause between two calls of one: 40 calls a second.
+const SENDERS: usize = 4;
+const PAUSE: Duration = Duration::from_millis(80);
+/// Time of a call at an executor.
+const WORK: Duration = Duration::from_millis(20);
+/// Calls before the outage.
+const WARM_UP: Duration = Duration::from_millis(2_500);
+/// From the outage's start: the busiest executors begin to drain, are gone, and others have their addresses.
+const DRAINS: Duration = Duration::from_millis(300);
+const GOES: Duration = Duration::from_millis(7_000);
+const NEWCOMERS: Duration = Duration::from_millis(8_000);
+const RETURNS: Duration = Duration::from_millis(10_000);
+/// What counts as told 2 s after a break, and 4 s after silence began.
+const AFTER_BREAK: Duration = Duration::from_secs(2);
+const AFTER_SILENCE: Duration = Duration::from_secs(4);
+/// `rules.stopSendingWithin` of the configuration and the protocol's slack; and what a busy machine may add between a first byte
+/// and its being read here.
+const GRACE: Duration = Duration::from_millis(350);
+const READ_LATE: Duration = Duration::from_millis(250);
+/// Discovery's return is taken in by then: an empty frame comes each second, and a busy machine may be late.
+const TAKEN_IN: Duration = Duration::from_millis(2_500);
+
+/// At the most one for each executor of each of four front ends and half of a grace, through the outage.
+const MOST_QUESTIONS: usize = 4 * EXECUTORS * 70;
+
+/// How discovery goes out of reach.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Kind {
+    /// Connections stay open and say nothing, as do new ones.
+    Silent,
+    /// Connections end, new ones are refused.
+    Refuses,
+    /// Connections end, new ones come up and say nothing.
+    EndsAndIsSilent,
+}
+
+impl Kind {
+    fn told_after(self) -> Duration {
+        match self {
+            Kind::Silent => AFTER_SILENCE,
+            Kind::Refuses | Kind::EndsAndIsSilent => AFTER_BREAK,
+        }
+    }
+}
+
+/// An executor that turns work away once it drains.
+struct Server {
+    executor: Executor,
+    drains: Arc<AtomicBool>,
+}
+
+impl Server {
+    fn on(listener: TcpListener) -> Server {
+        let drains = Arc::<AtomicBool>::default();
+        let own = drains.clone();
+        let script = move |s: &Seen| match (s.word.as_str(), own.load(Ordering::Relaxed)) {
+            ("FN" | "SPAWN", true) => vec![Do::Write(say("SHED", s))],
+            ("FN", false) => vec![Do::Wait(WORK), Do::Write(hit(s))],
+            _ => well(s),
+        };
+        Server { executor: Executor::on(listener, usize::MAX, script).unwrap(), drains }
+    }
+
+    fn start() -> Server {
+        Server::on(TcpListener::bind("127.0.0.1:0").unwrap())
+    }
+
+    /// What the drain rule forbids that has come since a moment.
+    fn sends_since(&self, since: Instant) -> usize {
+        let binds =
+            |s: &Seen| s.word == "FN" || s.word == "SPAWN" && s.line["meta"]["slots_up"].as_u64() != Some(0);
+        self.executor.seen().iter().filter(|s| s.at > since && binds(s)).count()
+    }
+}
+
+/// Calls as they ended: when sent, and whether served.
+type Ended = Mutex<Vec<(Instant, bool)>>;
+
+/// Calls a front end at the test's pace until told otherwise.
+struct Load {
+    ended: Arc<Ended>,
+    over: Arc<AtomicBool>,
+    threads: Vec<std::thread::JoinHandle<()>>,
+}
+
+impl Load {
+    fn begin(front: &Front, ids: &Arc<AtomicU64>) -> Load {
+        let (ended, over) = (Arc::<Ended>::default(), Arc::<AtomicBool>::default());
+        let sender = |_| {
+            let (ended, over, ids, address) = (ended.clone(), over.clone(), ids.clone(), front.address);
+            std::thread::spawn(move || call_until(&over, &ended, &ids, address))
+        };
+        let threads = (0..SENDERS).map(sender).collect();
+        Load { ended, over, threads }
+    }
+
+    fn end(&mut self) {
+        self.over.store(true, Ordering::Relaxed);
+        self.threads.drain(..).for_each(|t| t.join().unwrap());
+    }
+}
+
+fn call_until(over: &AtomicBool, ended: &Ended, ids: &AtomicU64, address: std::net::SocketAddr) {
+    let connect = || badgerwind_standins::platform::web::Web::connect(address).ok();
+    let mut web = connect();
+    while !over.load(Ordering::Relaxed) {
+        let n = ids.fetch_add(1, Ordering::Relaxed);
+        let ask = Ask { key: format!("{:016x}", n % FUNCTIONS), wait_ms: 2_000, ..Ask::new(n) };
+        let sent = Instant::now();
+        let answer = web.as_mut().and_then(|web| web.ask(1, &ask).and_then(|()| web.answer()).ok());
+        let served = answer.is_some_and(|a| a.status == 200 && a.body == ask.body);
+        ended.lock().unwrap().push((sent, served));
+        if !served {
+            web = connect();
+        }
+        std::thread::sleep(PAUSE);
+    }
+}
+
+/// Front ends, executors and discovery on one machine.
+struct World {
+    board: Board,
+    servers: Vec<Server>,
+    fronts: Vec<Front>,
+    loads: Vec<Load>,
+    ids: Arc<AtomicU64>,
+    config: Value,
+}
+
+/// What an outage led to.
+#[derive(Clone, Copy, Debug)]
+struct Verdict {
+    /// Sends past clock and grace to executors that drain.
+    past_grace: usize,
+    /// Sends to newcomers at the addresses of the gone, while nobody had told of them.
+    to_newcomers: usize,
+    /// Share of the calls sent in the outage that was served.
+    served: f64,
+    /// Questions that executors were asked in it.
+    questions: usize,
+}
+
+impl World {
+    fn start(fronts: usize) -> World {
+        let board = Board::start(2).unwrap();
+        let servers: Vec<_> = (0..EXECUTORS).map(|_| Server::start()).collect();
+        let listed = servers.iter().enumerate().map(|(n, s)| member(id(n), s.executor.address, "in_service"));
+        let config =
+            configuration("127.0.0.1:0".parse().unwrap(), board.address, &listed.collect::<Vec<_>>());
+        let fronts: Vec<_> = (0..fronts).map(|_| Front::start(config.clone())).collect();
+        let ids = Arc::new(AtomicU64::new(1));
+        let loads = fronts.iter().map(|f| Load::begin(f, &ids)).collect();
+        World { board, servers, fronts, loads, ids, config }
+    }
+
+    /// Kills a front end and starts it again with the configuration of before.
+    fn restart(&mut self, n: usize) {
+        self.loads[n].end();
+        self.fronts[n].kill();
+        self.fronts[n] = Front::start(self.config.clone());
+        self.loads[n] = Load::begin(&self.fronts[n], &self.ids);
+    }
+
+    /// The executors that served most, busiest first.
+    fn busiest(&self) -> Vec<usize> {
+        let mut all: Vec<usize> = (0..EXECUTORS).collect();
+        all.sort_by_key(|n| std::cmp::Reverse(self.servers[*n].executor.words("FN").len()));
+        all
+    }
+
+    fn begin_outage(&self, kind: Kind) {
+        match kind {
+            Kind::Silent => self.board.mood(Mood::Silent),
+            Kind::Refuses => self.board.refuse(true),
+            Kind::EndsAndIsSilent => {
+                self.board.mood(Mood::Silent);
+                self.board.cut();
+            }
+        }
+    }
+
+    fn end_outage(&self) {
+        self.board.mood(Mood::Well);
+        self.board.refuse(false);
+    }
+
+    /// Plays an outage in which the two busiest executors drain and are replaced. `restart`: a front end is killed and
+    /// started within it.
+    fn outage(mut self, kind: Kind, restart: Option<usize>) -> Verdict {
+        std::thread::sleep(WARM_UP);
+        let leaving = self.busiest()[..2].to_vec();
+        let began = Instant::now();
+        let at = |after: Duration| std::thread::sleep(after.saturating_sub(began.elapsed()));
+        self.begin_outage(kind);
+        at(DRAINS);
+        for &n in &leaving {
+            self.servers[n].drains.store(true, Ordering::Relaxed);
+        }
+        self.tell(&leaving, DRAINING);
+        if let Some(n) = restart {
+            at(DRAINS + AFTER_BREAK);
+            self.restart(n);
+        }
+        at(GOES);
+        let forbidden = began + kind.told_after().max(DRAINS) + GRACE + READ_LATE;
+        let past_grace = leaving.iter().map(|&n| self.servers[n].sends_since(forbidden)).sum();
+        leaving.iter().for_each(|&n| self.servers[n].executor.stop());
+        self.tell(&leaving, GONE);
+        at(NEWCOMERS);
+        let newcomers: Vec<_> = leaving.iter().map(|&n| self.replace(n)).collect();
+        at(RETURNS);
+        let to_newcomers = newcomers.iter().map(|s| s.sends_since(began)).sum();
+        let questions = self.questions_since(began) + newcomers.iter().map(questions).sum::<usize>();
+        let ended = Instant::now();
+        self.end_outage();
+        assert!(self.fronts.iter().all(|f| f.logs(&["fresh again"])), "{:?}", self.fronts[0].lines());
+        let taken_in = ended.elapsed();
+        self.call_new_functions();
+        assert!(newcomers.iter().any(|s| s.sends_since(ended) > 0), "newcomers are taken in");
+        self.loads.iter_mut().for_each(Load::end);
+        let mut all: Vec<(Instant, bool)> = Vec::new();
+        self.loads.iter().for_each(|load| all.extend(load.ended.lock().unwrap().iter()));
+        all.retain(|(sent, _)| (began..ended).contains(sent));
+        let served = all.iter().filter(|(_, served)| *served).count() as f64 / all.len() as f64;
+        assert!(taken_in < TAKEN_IN, "discovery's return was taken in after {taken_in:?}");
+        Verdict { past_grace, to_newcomers, served, questions }
+    }
+
+    /// Functions that nobody has called before go to newcomers too.
+    fn call_new_functions(&self) {
+        for n in 0..4 * EXECUTORS as u64 {
+            let key = format!("{:016x}", 1_000 + n);
+            let answer = self.fronts[0].call(&Ask { key, ..Ask::new(1 << 32 | n) });
+            assert_eq!(answer.status, 200);
+        }
+    }
+
+    fn tell(&self, leaving: &[usize], state: u8) {
+        let of = |&n: &usize| record(id(n), self.servers[n].executor.address, state);
+        self.board.tell(&leaving.iter().map(of).collect::<Vec<_>>());
+    }
+
+    /// Another executor at the address of one that has gone, under an id of its own.
+    fn replace(&self, n: usize) -> Server {
+        let address = self.servers[n].executor.address;
+        let mut listener = None;
+        assert!(until(|| {
+            listener = TcpListener::bind(address).ok();
+            listener.is_some()
+        }));
+        self.board.tell(&[record(id(n + EXECUTORS), address, READY)]);
+        Server::on(listener.unwrap())
+    }
+
+    fn questions_since(&self, since: Instant) -> usize {
+        let of = |s: &Server| s.executor.seen().iter().filter(|s| s.at > since && is_question(s)).count();
+        self.servers.iter().map(of).sum()
+    }
+}
+
+fn is_question(s: &Seen) -> bool {
+    let asks = s.word == "SPAWN" && s.line["meta"]["slots_up"].as_u64() == Some(0);
+    asks || s.word == "HELO" || s.word == "TOP"
+}
+
+fn questions(server: &Server) -> usize {
+    server.executor.seen().iter().filter(|s| is_question(s)).count()
+}
+
+/// No rule is broken, and those executors that are ready go on serving.
+fn kept(verdict: &Verdict) {
+    assert_eq!((verdict.past_grace, verdict.to_newcomers), (0, 0), "{verdict:?}");
+    assert!(verdict.served >= 0.9, "{verdict:?}");
+    assert!(verdict.questions < MOST_QUESTIONS, "{verdict:?}");
+}
+
+/// However discovery goes out of reach, and however many front ends it is out of reach for.
+#[test]
+fn drains_are_kept_while_discovery_is_out_of_reach() {
+    let plays = [(2, Kind::Silent), (2, Kind::Refuses), (4, Kind::EndsAndIsSilent)];
+    let verdicts: Vec<Verdict> = std::thread::scope(|scope| {
+        let play = |(fronts, kind)| scope.spawn(move || World::start(fronts).outage(kind, None));
+        let threads: Vec<_> = plays.into_iter().map(play).collect();
+        threads.into_iter().map(|thread| thread.join().unwrap()).collect()
+    });
+    for ((fronts, kind), verdict) in plays.iter().zip(&verdicts) {
+        println!("{kind:?}, {fronts} front ends: {verdict:?}");
+    }
+    verdicts.iter().for_each(kept);
+}
+
+/// The outage did not begin anew with its start: the list that it is given may be as old as the outage.
+#[test]
+fn drains_are_kept_by_a_front_end_that_starts_while_discovery_is_out_of_reach() {
+    kept(&World::start(2).outage(Kind::Silent, Some(0)));
+}
--- a/crates/badgerwind-standins/src/platform/board.rs
+++ b/crates/badgerwind-standins/src/platform/board.rs
@@ -19,6 +19,11 @@
 }
 
 struct State {
+    /// Nobody listens: connections end and new ones are refused.
+    refuses: bool,
+    /// Connections accepted, and those up to this one have been ended.
+    accepted: u64,
+    cut: u64,
     /// The whole list as event 1, for those who ask from the start.
     whole: Vec<u8>,
     /// To those who ask from the start no event beyond this one is written.
@@ -67,6 +72,9 @@
         let address = listener.local_addr()?;
         let (events, asked) = (Vec::new(), Vec::new());
         let state = State {
+            refuses: false,
+            accepted: 0,
+            cut: 0,
             whole: Vec::new(),
             held_after: u64::MAX,
             lost: 0,
@@ -77,13 +85,7 @@
         };
         let state = Arc::new(Mutex::new(state));
         let own = state.clone();
-        std::thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let state = own.clone();
-                // A connection that ends, ends: the front end asks anew.
-                std::thread::spawn(move || _ = serve(stream, &state));
-            }
-        });
+        std::thread::spawn(move || listen(listener, &own));
         Ok(Board { address, state })
     }
 
@@ -106,6 +108,18 @@
         self.state().mood = mood;
     }
 
+    /// Ends all open connections; new ones are accepted.
+    pub fn cut(&self) {
+        let mut state = self.state();
+        state.cut = state.accepted;
+    }
+
+    /// Ends all open connections and refuses new ones, until told otherwise.
+    pub fn refuse(&self, refuses: bool) {
+        let mut state = self.state();
+        (state.refuses, state.cut) = (refuses, state.accepted);
+    }
+
     /// Tells those who ask from the start that the list was this at event 1.
     pub fn began_with(&self, records: &[Vec<u8>]) {
         self.state().whole = records.concat();
@@ -127,7 +141,37 @@
     }
 }
 
-fn serve(mut stream: TcpStream, state: &Mutex<State>) -> io::Result<()> {
+/// Between two looks at what is to be done.
+const POLL: Duration = Duration::from_millis(5);
+
+/// Accepts connections, on the same address again after a time in which it refused them.
+fn listen(listener: TcpListener, state: &Arc<Mutex<State>>) {
+    let lock = || state.lock().unwrap_or_else(PoisonError::into_inner);
+    let Ok(address) = listener.local_addr() else { return };
+    let mut listener = listener.set_nonblocking(true).is_ok().then_some(listener);
+    loop {
+        if lock().refuses {
+            listener = None;
+        } else if listener.is_none() {
+            listener = TcpListener::bind(address).ok().filter(|l| l.set_nonblocking(true).is_ok());
+        }
+        match listener.as_ref().map(TcpListener::accept) {
+            Some(Ok((stream, _))) if stream.set_nonblocking(false).is_ok() => {
+                let own = state.clone();
+                let number = {
+                    let mut state = lock();
+                    state.accepted += 1;
+                    state.accepted
+                };
+                // A connection that ends, ends: the front end asks anew.
+                std::thread::spawn(move || _ = serve(stream, &own, number));
+            }
+            _ => std::thread::sleep(POLL),
+        }
+    }
+}
+
+fn serve(mut stream: TcpStream, state: &Mutex<State>, connection: u64) -> io::Result<()> {
     let lock = || state.lock().unwrap_or_else(PoisonError::into_inner);
     let mut had = [0u8; 8];
     stream.read_exact(&mut had)?;
@@ -138,6 +182,9 @@
     loop {
         let (mood, next) = {
             let mut s = lock();
+            if s.cut >= connection {
+                return Ok(());
+            }
             let later = |n: u64| s.events.get(n as usize).cloned();
             let next = match (had + 1).checked_sub(s.first) {
                 _ if from_start && had >= s.held_after => None,
@@ -168,6 +215,6 @@
             }
             _ => {}
         }
-        std::thread::sleep(Duration::from_millis(5));
+        std::thread::sleep(POLL);
     }
 }
--- a/crates/badgerwind-standins/src/platform/executor.rs
+++ b/crates/badgerwind-standins/src/platform/executor.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -86,6 +86,7 @@
     pub doors: Arc<Doors>,
     seen: Arc<Mutex<Vec<Seen>>>,
     ways: Arc<Ways>,
+    stopped: Arc<AtomicBool>,
 }
 
 impl Executor {
@@ -115,8 +116,13 @@
         let (all, doors) = (seen.clone(), Arc::<Doors>::default());
         let (counts, ways) = (doors.clone(), Arc::<Ways>::default());
         let own_ways = ways.clone();
+        let stopped = Arc::<AtomicBool>::default();
+        let ends = stopped.clone();
         std::thread::spawn(move || {
             for (connection, stream) in listener.incoming().flatten().enumerate() {
+                if ends.load(Ordering::Relaxed) {
+                    return; // connections to its address are refused from now on
+                }
                 let (seen, script, doors) = (all.clone(), script.clone(), counts.clone());
                 let ways = own_ways.clone();
                 std::thread::spawn(move || {
@@ -133,7 +139,19 @@
                 });
             }
         });
-        Ok(Executor { address, doors, seen, ways })
+        Ok(Executor { address, doors, seen, ways, stopped })
+    }
+
+    /// Ends it as the death of its process would: connections end, and new ones are refused.
+    pub fn stop(&self) {
+        self.stopped.store(true, Ordering::Relaxed);
+        // Wakes the thread that accepts, which then lets go of the address.
+        let _ = TcpStream::connect(self.address);
+        let ways = self.ways.lock().unwrap_or_else(PoisonError::into_inner);
+        for way in ways.values() {
+            let stream = way.lock().unwrap_or_else(PoisonError::into_inner);
+            let _ = stream.shutdown(std::net::Shutdown::Both); // it may have ended
+        }
     }
 
     /// Ends a connection, by its number; false where it never came up.
