Past discovery's clocks an executor takes new work only by its own word

Cause: missing news was read as no news. The list of executors had no age, so that the choice, each order to load and the last look at the first byte all took what discovery had said last for its word now.

Change: badgerwind-freshness knows until when the list may be relied on, and past it what each executor itself has shown. 'full' to a question is a drain, and the module is told so; a refused connection, a connection that comes up long after the last one ended, or one to a machine that was silent is no longer the executor that was listed: nothing is sent, or it counts as just started. Work whose first byte the socket has not taken goes back in line and is looked at again.

--- a/crates/badgerwind-driver/src/driver.rs
+++ b/crates/badgerwind-driver/src/driver.rs
@@ -177,6 +177,7 @@
                     self.tell(Event::Probed { worker, outcome, report }, out);
                 }
             }
+            Input::PresumedRestart { worker } => self.tell(Event::PresumedRestart { worker }, out),
             Input::Parts(parts) => self.tell(Event::Parts(parts), out),
             Input::Heard { from, bytes } => self.tell(Event::Message { from, bytes }, out),
         }
--- a/crates/badgerwind-driver/src/lib.rs
+++ b/crates/badgerwind-driver/src/lib.rs
@@ -161,6 +161,11 @@
         /// The runner's load report.
         report: Option<Vec<f64>>,
     },
+    /// A runner's process counts as started just now, until the list says otherwise.
+    PresumedRestart {
+        /// The runner.
+        worker: WorkerId,
+    },
     /// What of the fleet's wholes is this front end's own from now on.
     Parts(Parts),
     /// A message from another front end.
--- a/crates/badgerwind-freshness/src/source.rs
+++ b/crates/badgerwind-freshness/src/source.rs
@@ -107,6 +107,11 @@
         now < self.relied_on_until()
     }
 
+    /// Whether the list was stale when this was last asked for a transition.
+    pub fn reported_stale(&self) -> bool {
+        self.reported_stale.is_some()
+    }
+
     /// The change since this was last asked, for logs and for what follows from it.
     pub fn transition(&mut self, now: Time) -> Option<Transition> {
         match (self.fresh(now), self.reported_stale) {
--- a/crates/badgerwind-gateway/src/engine.rs
+++ b/crates/badgerwind-gateway/src/engine.rs
@@ -185,6 +185,11 @@
                     others.iter_mut().for_each(|other| other.push(Input::Parts(parts.clone())));
                     None
                 }
+                Input::PresumedRestart { worker } => {
+                    let worker = *worker;
+                    others.iter_mut().for_each(|other| other.push(Input::PresumedRestart { worker }));
+                    None
+                }
                 Input::CallerLeft { id, .. }
                 | Input::StreamBegan { id, .. }
                 | Input::AttemptEnded { id, .. } => holder(id),
--- a/crates/badgerwind-gateway/src/platform/discovery.rs
+++ b/crates/badgerwind-gateway/src/platform/discovery.rs
@@ -2,8 +2,8 @@
 
 use super::shell::{Input, Shell};
 use super::wire::is_short;
-use badgerwind::interface::Time;
-use badgerwind_freshness::source::{Ending, Transition};
+use badgerwind::interface::{Availability, Time};
+use badgerwind_freshness::source::Ending;
 use badgerwind_platform::board::{BadFrame, Follower, News};
 use badgerwind_platform::config::Places;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
@@ -76,6 +76,11 @@
     /// Takes news in: where executors are, and what the module is told.
     pub(super) fn news(&self, news: &News) {
         self.executors.listed(self.clock.now(), news);
+        let mut freshness = self.freshness.borrow_mut();
+        for listed in &news.entries {
+            let gone = listed.entry.availability == Availability::Gone;
+            freshness.listed(listed.entry.worker, gone);
+        }
         let entries = news.entries.iter().map(|l| l.entry.clone()).collect();
         self.tell(Input::List { kind: news.kind, entries });
     }
@@ -90,7 +95,7 @@
                 None
             };
             let Some(interruption) = followed.or(changed).await else {
-                self.source.borrow_mut().moved(self.clock.now());
+                self.freshness.borrow_mut().moved(self.clock.now());
                 pause = FIRST_PAUSE;
                 continue;
             };
@@ -101,9 +106,9 @@
         }
     }
 
-    fn interrupted(&self, discovery: &Discovery, Interruption { how, what }: &Interruption) {
+    fn interrupted(self: &Rc<Self>, discovery: &Discovery, Interruption { how, what }: &Interruption) {
         let now = self.clock.now();
-        self.source.borrow_mut().ended(now, *how);
+        self.discovery_ended(*how);
         let (address, last) = (discovery.address.get(), discovery.follower.borrow().last());
         tracing::debug!(%address, "service discovery is asked anew: {what}");
         if let Some(more) = self.complaints.discovery.may(now) {
@@ -111,7 +116,7 @@
         }
     }
 
-    async fn frames(&self, discovery: &Discovery, pause: &mut Duration) -> Interruption {
+    async fn frames(self: &Rc<Self>, discovery: &Discovery, pause: &mut Duration) -> Interruption {
         let connect = Async::<TcpStream>::connect(discovery.address.get());
         let mut stream = match connect.or(late(CONNECT)).await {
             Ok(stream) => stream,
@@ -144,7 +149,7 @@
 
     /// Takes in what was read. The next frame is waited for from now on, unless a part of it has come already.
     fn take_frames(
-        &self,
+        self: &Rc<Self>,
         discovery: &Discovery,
         bytes: &[u8],
         waited_since: &mut Time,
@@ -155,34 +160,12 @@
         let (heard, partial) = (follower.heard(), follower.partial());
         drop(follower);
         news.iter().for_each(|n| self.news(n));
-        self.source.borrow_mut().heard(*waited_since, heard);
-        self.report_source();
+        self.discovery_heard(*waited_since, heard);
         if !partial {
             *waited_since = self.clock.now();
         }
         fed
     }
-
-    /// Tells the log when the list becomes stale or fresh, and what that cost.
-    pub(super) fn report_source(&self) {
-        let now = self.clock.now();
-        let Some(transition) = self.source.borrow_mut().transition(now) else { return };
-        match transition {
-            Transition::Stale { age } => {
-                let mut counters = self.counters.borrow_mut();
-                counters.outages += 1;
-                self.counted.set(*counters);
-                tracing::warn!(
-                    age_us = age,
-                    "the list of executors is stale: service discovery has not vouched for it"
-                );
-            }
-            Transition::Fresh { lasted } => {
-                let cost = self.counters.borrow().since(&self.counted.get());
-                tracing::info!(lasted_us = lasted, ?cost, "the list of executors is fresh again");
-            }
-        }
-    }
 }
 
 async fn late<T>(after: Duration) -> std::io::Result<T> {
--- a/crates/badgerwind-gateway/src/platform/executors.rs
+++ b/crates/badgerwind-gateway/src/platform/executors.rs
@@ -4,9 +4,10 @@
 use super::wire::{is_short, Wire};
 use badgerwind::interface::*;
 use badgerwind_driver::{AttemptEnd, CallOff, OrderId};
+use badgerwind_freshness::Permit;
 use badgerwind_platform::board::{Listed, News};
 use badgerwind_platform::line;
-use badgerwind_platform::link::{End, Link, Off, Task};
+use badgerwind_platform::link::{End, Link, Off, Start, Task};
 use badgerwind_platform::reach::{Patience, Reach, Sharing};
 use futures_lite::FutureExt;
 use smol::{Async, Timer};
@@ -33,9 +34,9 @@
 const MARGIN: Span = 5_000;
 
 pub(super) struct Connection {
-    worker: WorkerId,
+    pub worker: WorkerId,
     wire: RefCell<Option<Rc<Wire>>>,
-    link: RefCell<Link<Out>>,
+    pub link: RefCell<Link<Out>>,
     /// The other side has ended it, or has sent what cannot be read: its task acts on it next.
     over: Cell<Option<Over>>,
     /// What did not go out ends so.
@@ -66,6 +67,8 @@
 }
 
 struct Executor {
+    /// As discovery told of it last.
+    entry: WorkerEntry,
     address: SocketAddr,
     /// Since when nothing new may go there, and whether it is gone.
     leaving: Option<Time>,
@@ -116,6 +119,7 @@
         }
         for Listed { entry, address } in &news.entries {
             let e = all.entry(entry.worker).or_insert_with(|| Executor {
+                entry: entry.clone(),
                 address: *address,
                 leaving: None,
                 gone: false,
@@ -127,6 +131,7 @@
                 e.links.iter().for_each(|c| c.retire());
                 (e.address, e.reach) = (*address, Reach::new(pause));
             }
+            e.entry = entry.clone();
             e.gone = entry.availability == Availability::Gone;
             e.leaving = match entry.availability {
                 Availability::Ready => None,
@@ -168,8 +173,53 @@
         self.put(shell, now, worker, Task::Unload(key.to_owned()), false);
     }
 
+    /// A number for a probe or a question, never used before.
+    pub(super) fn next_number(&self) -> u64 {
+        self.probes.replace(self.probes.get() + 1)
+    }
+
+    /// An executor as discovery told of it last.
+    pub(super) fn entry(&self, worker: WorkerId) -> Option<WorkerEntry> {
+        self.all.borrow().get(&worker).filter(|e| !e.gone).map(|e| e.entry.clone())
+    }
+
+    /// The connections to an executor.
+    pub(super) fn connections(&self, worker: WorkerId) -> Vec<Rc<Connection>> {
+        self.all.borrow().get(&worker).map(|e| e.links.clone()).unwrap_or_default()
+    }
+
+    /// One of them that takes something new and over which something was taken in.
+    pub(super) fn proven(&self, worker: WorkerId) -> Option<Rc<Connection>> {
+        let takes_orders = |c: &Rc<Connection>| {
+            c.is_up() && c.door.get() == Door::Inside && c.takes(&Task::Unload(String::new()))
+        };
+        self.connections(worker).into_iter().find(takes_orders)
+    }
+
+    /// The executors that are listed.
+    pub(super) fn workers(&self) -> Vec<WorkerId> {
+        self.all.borrow().keys().copied().collect()
+    }
+
+    /// Whether no other connection to its executor is up.
+    pub(super) fn stands_alone(&self, connection: &Rc<Connection>) -> bool {
+        let another = |c: &Rc<Connection>| c.is_up() && !Rc::ptr_eq(c, connection);
+        !self.connections(connection.worker).iter().any(another)
+    }
+
+    /// Opens a connection to an executor that has none, where there is room.
+    pub(super) fn connect(&self, shell: &Rc<Shell>, worker: WorkerId) {
+        if self.open.get() >= shell.shares.executors {
+            return;
+        }
+        let mut all = self.all.borrow_mut();
+        if let Some(e) = all.get_mut(&worker).filter(|e| !e.gone && e.links.is_empty()) {
+            self.open_to(shell, worker, e);
+        }
+    }
+
     pub(super) fn probe(&self, shell: &Rc<Shell>, now: Time, worker: WorkerId) {
-        let number = self.probes.replace(self.probes.get() + 1);
+        let number = self.next_number();
         self.put(shell, now, worker, Task::Probe(number), false);
     }
 
@@ -263,10 +313,17 @@
         if !room {
             return shared.min_by_key(|c| c.link.borrow().busy()).cloned();
         }
+        let standing = e.links.iter().filter(|c| c.takes(task)).count();
+        let all_in_use = trusted && standing > 0;
+        tracing::debug!(worker, standing, trusted, all_in_use, "a connection is opened");
+        Some(self.open_to(shell, worker, e))
+    }
+
+    fn open_to(&self, shell: &Rc<Shell>, worker: WorkerId, e: &mut Executor) -> Rc<Connection> {
         let c = Rc::new(Connection {
             worker,
             wire: RefCell::default(),
-            link: RefCell::new(Link::new(now)),
+            link: RefCell::new(Link::new(shell.clock.now())),
             over: Cell::default(),
             unsent: Cell::new(Outcome::ConnectFailed),
             closing: Cell::default(),
@@ -274,13 +331,10 @@
             door: Cell::new(Door::Unseen),
             kept: Cell::default(),
         });
-        let standing = e.links.iter().filter(|c| c.takes(task)).count();
-        let all_in_use = trusted && standing > 0;
-        tracing::debug!(worker, standing, trusted, all_in_use, "a connection is opened");
         e.links.push(c.clone());
         self.open.set(self.open.get() + 1);
         shell.tasks.spawn(shell.clone().drive(c.clone(), e.address)).detach();
-        Some(c)
+        c
     }
 
     /// Closes the connection that has been idle for longest; false where none is.
@@ -376,13 +430,18 @@
     /// Closes what has been idle for so long that the other side might.
     pub(super) fn sweep(&self, shell: &Shell, now: Time) {
         let long = shell.transport.idle_close / 4 * 3;
+        // While the list is stale, the last connection to an executor shows that its process is the one that was listed.
+        let stale = !shell.freshness.borrow().fresh(now);
         let all = self.all.borrow();
         let mut begun = Vec::new();
-        for c in all.values().flat_map(|e| &e.links) {
-            if c.idle() && (now > c.link.borrow().used + long || c.link.borrow().spent()) {
-                c.close();
+        for e in all.values() {
+            for c in &e.links {
+                let rests = now > c.link.borrow().used + long && !(stale && e.links.len() == 1);
+                if c.idle() && (rests || c.link.borrow().spent()) {
+                    c.close();
+                }
+                begun.push((c.link.borrow().held(), c));
             }
-            begun.push((c.link.borrow().held(), c));
         }
         // Beyond their share the longest lines go: what was sent of them so far shows no end.
         begun.sort_by_key(|(held, _)| std::cmp::Reverse(*held));
@@ -397,7 +456,23 @@
     }
 }
 
+impl Out {
+    /// The function that is called.
+    pub(super) fn key(&self) -> &str {
+        &self.content.key
+    }
+}
+
 impl Connection {
+    fn is_up(&self) -> bool {
+        self.wire.borrow().is_some()
+    }
+
+    /// The function of the first new work that waits on it.
+    pub(super) fn first_new_work(&self) -> Option<FunctionId> {
+        self.link.borrow().waiting().find_map(|task| task.new_work(Out::key)).map(FunctionId::from)
+    }
+
     fn idle(&self) -> bool {
         self.link.borrow().busy() == 0 && self.wire.borrow().is_some()
     }
@@ -432,18 +507,21 @@
 
 impl Shell {
     /// Begins what waits on a connection, and writes what its socket takes.
-    fn push_out(self: &Rc<Self>, c: &Rc<Connection>) {
+    pub(super) fn push_out(self: &Rc<Self>, c: &Rc<Connection>) {
         let Some(wire) = c.wire.borrow().clone() else { return };
         let (now, mut ends) = (self.clock.now(), Vec::new());
-        // Looked at again now that the first byte goes: what was queued may not go out after the drain's limit.
+        // Looked at again now that the first byte goes: what was queued may not go out after the drain's limit, nor to one of
+        // which nobody has told for too long whether it takes work.
         let leaving = self.executors.all.borrow().get(&c.worker).and_then(|e| e.leaving);
         let barred = leaving.is_some_and(|at| now + MARGIN > at + self.set.drain_grace);
+        let permit = if barred { Permit::Denied } else { self.permit(c, now) };
         let mut link = c.link.borrow_mut();
-        link.begin(|task, out| self.line(now, barred, task, out), &mut ends);
+        link.begin(now, |task, out| self.start(now, permit, task, out), &mut ends);
         let failed = match wire.write(link.out()) {
             Ok(n) => {
                 let owed = link.owed();
                 link.sent(n, &mut ends);
+                link.put_back(|task| task.new_work(Out::key).is_some());
                 if link.owed() > owed {
                     self.executors.reach(c.worker, |r| r.asked(now));
                 }
@@ -453,45 +531,54 @@
             Err(_) => true,
         };
         drop(link);
-        ends.into_iter().for_each(|end| self.end(c.worker, end, Outcome::ConnectFailed));
+        // One that drains by discovery's word takes nothing; by its own, it was not asked.
+        let unsent = if barred { Outcome::ConnectFailed } else { Outcome::Moot };
+        ends.into_iter().for_each(|end| self.end(c.worker, end, unsent));
         if failed {
             self.broken(c, false);
         }
     }
 
+    /// Appends the line of a task, where it begins now.
+    fn start(&self, now: Time, permit: Permit, task: &Task<Out>, out: &mut Vec<u8>) -> Start {
+        if task.new_work(Out::key).is_some() {
+            match permit {
+                Permit::Granted => self.freshness.borrow_mut().sent(now),
+                Permit::Ask | Permit::Wait => return Start::Held,
+                Permit::Denied => return Start::Dropped,
+            }
+        }
+        if self.line(now, task, out) {
+            Start::Begun
+        } else {
+            Start::Dropped
+        }
+    }
+
     /// Appends the line of a task; false where it must not go out any more.
-    fn line(&self, now: Time, barred: bool, task: &Task<Out>, out: &mut Vec<u8>) -> bool {
+    fn line(&self, now: Time, task: &Task<Out>, out: &mut Vec<u8>) -> bool {
         match task {
             Task::Attempt { content: Out { content, .. }, limit, .. } => {
                 let ms = limit.saturating_sub(now) / 1000;
-                if barred || ms == 0 {
+                if ms == 0 {
                     return false;
                 }
                 let kind = self.names.classes.get(content.class).map_or("", String::as_str);
                 let (id, obj, body) = (&*content.id, &*content.key, &*content.body);
                 line::call(out, &line::Call { id, kind, obj, ms, body });
-                self.count_sent(now);
             }
-            Task::Order { copies, .. } if barred && *copies > 0 => return false,
             Task::Order { order, key, copies } => {
-                if *copies > 0 {
-                    self.count_sent(now);
-                }
                 line::load(out, &badgerwind_platform::link::order_tag(*order), key, *copies);
             }
+            Task::Question { number, key } => {
+                line::load(out, &badgerwind_platform::link::question_tag(*number), key, 0);
+            }
             Task::Probe(number) => line::probe(out, &badgerwind_platform::link::probe_tag(*number)),
             Task::Unload(key) => line::unload(out, key),
         }
         true
     }
 
-    /// Counts work that begins to go out while the list of executors is stale.
-    fn count_sent(&self, now: Time) {
-        if !self.source.borrow().fresh(now) {
-            self.counters.borrow_mut().sent_while_stale += 1;
-        }
-    }
-
     /// Whether a call must not run twice, whatever becomes of its connection.
     fn once(&self, content: &Content) -> bool {
         self.set.classes.get(content.class).is_some_and(|c| c.effect == Effect::Once)
@@ -505,18 +592,21 @@
             }
             Task::Order { order, .. } => self.tell(Input::OrderEnded { order, outcome, copies: 0 }),
             Task::Probe(_) => self.tell(Input::ProbeEnded { worker, outcome, report: None }),
+            Task::Question { .. } => self.freshness.borrow_mut().unanswered(worker),
             Task::Unload(_) => {}
         }
     }
 
     /// Tells how something ended; `unsent` is what became of one that never went out.
-    fn end(&self, worker: WorkerId, end: End<Out>, unsent: Outcome) {
+    pub(super) fn end(&self, worker: WorkerId, end: End<Out>, unsent: Outcome) {
         match end {
             End::Attempt(id, attempt, end) => {
                 self.tell(Input::AttemptEnded { id, attempt, end });
             }
             End::Order(order, outcome, copies) => self.tell(Input::OrderEnded { order, outcome, copies }),
             End::Probe(outcome) => self.tell(Input::ProbeEnded { worker, outcome, report: None }),
+            End::Question(Outcome::Reset) => self.freshness.borrow_mut().unanswered(worker),
+            End::Question(_) => {}
             End::Unsent(task) => self.unsent(worker, task, unsent),
         }
     }
@@ -549,7 +639,7 @@
     fn at_the_door(&self, c: &Connection, end: &End<Out>) {
         let no = match end {
             End::Attempt(_, _, end) => end.outcome == Outcome::Full,
-            End::Order(_, outcome, _) => *outcome == Outcome::Full,
+            End::Order(_, outcome, _) | End::Question(outcome) => *outcome == Outcome::Full,
             _ => false,
         };
         match (c.door.get(), no) {
@@ -562,23 +652,6 @@
         }
     }
 
-    /// Counts work that an executor turned away while the list of executors is stale: it may have begun to drain.
-    fn turned_away_while_stale(&self, now: Time, worker: WorkerId, end: &End<Out>) {
-        let request = match end {
-            End::Attempt(id, _, end) if end.outcome == Outcome::Full => &**id,
-            End::Order(_, Outcome::Full, _) => "",
-            _ => return,
-        };
-        if self.source.borrow().fresh(now) {
-            return;
-        }
-        self.counters.borrow_mut().turned_away_while_stale += 1;
-        if let Some(more) = self.complaints.turned_away.may(now) {
-            let worker = format_args!("s-{worker:08x}");
-            tracing::warn!(%worker, request, more, "an executor turned work away while the list of executors is stale");
-        }
-    }
-
     /// A connection's life.
     async fn drive(self: Rc<Self>, c: Rc<Connection>, address: SocketAddr) {
         self.connected(&c, address).await;
@@ -592,6 +665,7 @@
             self.executors.reach(c.worker, |r| r.turned_away(now, fastrand::f64()));
         }
         self.broken(&c, c.over.get() == Some(Over::Spoilt));
+        let was_up = c.is_up();
         *c.wire.borrow_mut() = None;
         let mut all = self.executors.all.borrow_mut();
         if let Some(e) = all.get_mut(&c.worker) {
@@ -600,7 +674,11 @@
                 all.remove(&c.worker);
             }
         }
+        drop(all);
         self.executors.open.set(self.executors.open.get().saturating_sub(1));
+        if was_up {
+            self.went_down(&c);
+        }
     }
 
     async fn connected(self: &Rc<Self>, c: &Rc<Connection>, address: SocketAddr) {
@@ -613,6 +691,9 @@
             Ok(stream) => stream,
             Err(e) => {
                 let took = self.clock.now() - began;
+                if e.kind() == std::io::ErrorKind::ConnectionRefused {
+                    self.refused(c);
+                }
                 return tracing::debug!(worker = c.worker, took, "not connected: {e}");
             }
         };
@@ -622,6 +703,7 @@
         }
         *c.wire.borrow_mut() = Some(Rc::new(Wire::new(stream)));
         self.executors.reach(c.worker, |r| _ = r.heard());
+        self.came_up(self.clock.now(), c);
         self.push_out(c);
         while !c.closing.get() && c.over.get().is_none() {
             let Some(wire) = c.wire.borrow().clone() else { return };
@@ -639,7 +721,7 @@
     }
 
     /// Reads what has come on a connection; false where the other side has ended it.
-    fn stands(&self, c: &Rc<Connection>) -> bool {
+    fn stands(self: &Rc<Self>, c: &Rc<Connection>) -> bool {
         let Some(wire) = c.wire.borrow().clone() else { return true };
         let mut ends = Vec::new();
         for _ in 0..READS {
@@ -659,12 +741,12 @@
             self.executors.word(now, c.worker);
             let fed = c.link.borrow_mut().feed(now, &scratch[..n], &mut ends);
             drop(scratch);
+            self.take_evidence(c, now, c.door.get() != Door::Unseen);
             for end in ends.drain(..) {
                 if matches!(end, End::Attempt(..)) {
                     self.executors.sharing.borrow_mut().answered();
                 }
                 self.at_the_door(c, &end);
-                self.turned_away_while_stale(now, c.worker, &end);
                 self.end(c.worker, end, Outcome::ConnectFailed);
             }
             if let Err(e) = fed {
--- /dev/null
+++ b/crates/badgerwind-gateway/src/platform/freshness.rs
@@ -0,0 +1,237 @@
+//! Carries out what follows from the age of the list of executors: asks them, tells the module, keeps work back.
+
+use super::executors::{Connection, Out};
+use super::shell::{Input, Shell};
+use badgerwind::interface::*;
+use badgerwind_freshness::source::{Ending, Heard, Transition};
+use badgerwind_freshness::{Change, Evidence, Permit};
+use badgerwind_platform::link::{Start, Task};
+use smol::Timer;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Longest wait, drawn anew each time, before an executor whose last connection ended is connected to again.
+const RECONNECT_WITHIN: Duration = Duration::from_millis(200);
+
+impl Shell {
+    /// Something came from service discovery, waited for since then.
+    pub(super) fn discovery_heard(self: &Rc<Self>, waited_since: Time, heard: Heard) {
+        let changes = self.freshness.borrow_mut().heard(waited_since, heard);
+        self.apply(changes);
+        self.look_at_freshness();
+    }
+
+    /// A connection to it ended.
+    pub(super) fn discovery_ended(self: &Rc<Self>, how: Ending) {
+        self.freshness.borrow_mut().ended(self.clock.now(), how);
+    }
+
+    /// Takes note where the list has become stale or fresh, and tells the log what an outage cost.
+    pub(super) fn look_at_freshness(self: &Rc<Self>) {
+        let (transition, changes) = self.freshness.borrow_mut().transition(self.clock.now());
+        match transition {
+            None => return,
+            Some(Transition::Stale { age }) => tracing::warn!(
+                age_us = age,
+                "the list of executors is stale: service discovery has not vouched for it; work goes to those who confirm that they take it"
+            ),
+            Some(Transition::Fresh { lasted }) => {
+                let cost = self.freshness.borrow().cost();
+                tracing::info!(lasted_us = lasted, %cost, "the list of executors is fresh again");
+            }
+        }
+        self.apply(changes);
+        if matches!(transition, Some(Transition::Fresh { .. })) {
+            let workers = self.executors.workers();
+            workers.into_iter().for_each(|worker| self.push_out_waiting(worker));
+        }
+    }
+
+    /// Regular work: questions that had no answer, and executors to be asked again.
+    pub(super) fn sweep_freshness(self: &Rc<Self>) {
+        self.look_at_freshness();
+        let now = self.clock.now();
+        let overdue = self.freshness.borrow_mut().overdue(now);
+        for worker in overdue {
+            let worker_name = name(worker);
+            tracing::debug!(worker = %worker_name, "a question had no answer in time");
+            self.give_up_waiting(worker, Outcome::ConnectFailed);
+        }
+        let repeats = self.freshness.borrow_mut().repeats(now);
+        for (worker, function) in repeats {
+            if let Some(connection) = self.executors.proven(worker) {
+                self.ask(&connection, now, function);
+                self.push_out(&connection);
+            }
+        }
+        self.report_cost(now);
+    }
+
+    /// Tells the log now and then what an outage has cost so far.
+    fn report_cost(&self, now: Time) {
+        let freshness = self.freshness.borrow();
+        if freshness.fresh(now) {
+            return;
+        }
+        if self.complaints.outage.may(now).is_some() {
+            tracing::info!(cost = %freshness.cost(), "the list of executors is stale");
+        }
+    }
+
+    /// Whether new work that waits on a connection may go out now. Where its executor is to be asked first, the question is
+    /// put in line.
+    pub(super) fn permit(self: &Rc<Self>, connection: &Rc<Connection>, now: Time) -> Permit {
+        let function = connection.first_new_work();
+        let Some(function) = function else { return Permit::Granted };
+        let permit = self.freshness.borrow_mut().permit(now, connection.worker);
+        if permit != Permit::Ask {
+            return permit;
+        }
+        // Over a new one a refusal could be for want of room in the executor's table of connections.
+        let proven = self.executors.proven(connection.worker);
+        let other = proven.filter(|other| !Rc::ptr_eq(other, connection));
+        self.ask(other.as_ref().unwrap_or(connection), now, function);
+        if let Some(other) = other {
+            self.push_out(&other);
+        }
+        Permit::Wait
+    }
+
+    fn ask(&self, connection: &Connection, now: Time, function: FunctionId) {
+        let number = self.executors.next_number();
+        let task = Task::Question { number, key: function.to_string() };
+        connection.link.borrow_mut().push(now, task);
+        self.freshness.borrow_mut().asked(now, connection.worker, function);
+        tracing::debug!(worker = %name(connection.worker), number, "an executor is asked whether it takes work");
+    }
+
+    /// Takes in what the answers over a connection prove. `proven`: something was taken in over it before them.
+    pub(super) fn take_evidence(self: &Rc<Self>, connection: &Connection, now: Time, proven: bool) {
+        let evidence = connection.link.borrow_mut().evidence();
+        if evidence.is_empty() {
+            return;
+        }
+        let worker = connection.worker;
+        for evidence in evidence {
+            let changes = self.freshness.borrow_mut().evidence(now, worker, evidence, proven);
+            if evidence == Evidence::TurnsAway {
+                self.complain_of_refusal(now, worker);
+            }
+            if evidence == Evidence::Unclear || evidence == Evidence::Drains && !proven {
+                self.give_up_waiting(worker, Outcome::Full);
+            }
+            self.apply(changes);
+        }
+        self.push_out_waiting(worker);
+    }
+
+    fn complain_of_refusal(&self, now: Time, worker: WorkerId) {
+        if self.freshness.borrow().fresh(now) {
+            return;
+        }
+        if let Some(more) = self.complaints.turned_away.may(now) {
+            tracing::warn!(worker = %name(worker), more, "an executor turned work away while the list of executors is stale");
+        }
+    }
+
+    /// Carries out what follows for the module.
+    pub(super) fn apply(self: &Rc<Self>, changes: Vec<Change>) {
+        for change in changes {
+            match change {
+                Change::OutOfService(worker) => {
+                    tracing::info!(worker = %name(worker), "an executor takes no new work: it drains, or nobody listens there");
+                    self.relist(worker, Some(Availability::Draining));
+                    self.give_up_waiting(worker, Outcome::Moot);
+                }
+                Change::AsListed(worker) => {
+                    tracing::info!(worker = %name(worker), "an executor counts as service discovery told");
+                    self.relist(worker, None);
+                }
+                Change::Restarted(worker) => {
+                    tracing::info!(worker = %name(worker), "an executor counts as just started: nothing shows that its process is the one of before");
+                    self.tell(Input::PresumedRestart { worker });
+                    self.give_up_waiting(worker, Outcome::Moot);
+                }
+            }
+        }
+    }
+
+    /// Tells the module of an executor as it is listed, or with another availability.
+    fn relist(&self, worker: WorkerId, availability: Option<Availability>) {
+        let Some(mut entry) = self.executors.entry(worker) else { return };
+        entry.availability = availability.unwrap_or(entry.availability);
+        self.tell(Input::List { kind: ListKind::Changes, entries: vec![entry] });
+    }
+
+    /// New work that waits for an executor's answer goes another way.
+    fn give_up_waiting(&self, worker: WorkerId, outcome: Outcome) {
+        let now = self.clock.now();
+        for connection in self.executors.connections(worker) {
+            let mut ends = Vec::new();
+            let drop_new_work = |task: &Task<Out>| match task.new_work(Out::key) {
+                Some(_) => Start::Dropped,
+                None => Start::Held,
+            };
+            connection.link.borrow_mut().begin(now, |task, _| drop_new_work(task), &mut ends);
+            ends.into_iter().for_each(|end| self.end(worker, end, outcome));
+        }
+    }
+
+    /// What waited for an answer goes out on each connection of the executor.
+    fn push_out_waiting(self: &Rc<Self>, worker: WorkerId) {
+        for connection in self.executors.connections(worker) {
+            if connection.first_new_work().is_some() {
+                self.push_out(&connection);
+            }
+        }
+    }
+
+    /// A connection has come up.
+    pub(super) fn came_up(&self, now: Time, connection: &Rc<Connection>) {
+        if self.executors.stands_alone(connection) {
+            self.freshness.borrow_mut().connected(now, connection.worker);
+        }
+    }
+
+    /// An executor's address refused a connection.
+    pub(super) fn refused(self: &Rc<Self>, connection: &Rc<Connection>) {
+        if self.executors.stands_alone(connection) {
+            let now = self.clock.now();
+            let changes = self.freshness.borrow_mut().refused(now, connection.worker);
+            self.apply(changes);
+        }
+    }
+
+    /// A connection that was up has ended. While the list is stale, another one shows at once whether the process is there:
+    /// later it might be a successor's.
+    pub(super) fn went_down(self: &Rc<Self>, connection: &Rc<Connection>) {
+        let worker = connection.worker;
+        if !self.executors.stands_alone(connection) {
+            return;
+        }
+        let now = self.clock.now();
+        let mut freshness = self.freshness.borrow_mut();
+        freshness.disconnected(now, worker);
+        if freshness.fresh(now) || self.stopping.get() {
+            return;
+        }
+        drop(freshness);
+        let shell = self.clone();
+        let reconnect = async move {
+            Timer::after(RECONNECT_WITHIN.mul_f64(fastrand::f64())).await;
+            shell.executors.connect(&shell, worker);
+        };
+        self.tasks.spawn(reconnect).detach();
+    }
+}
+
+/// An executor's name, as discovery writes it.
+fn name(worker: WorkerId) -> impl std::fmt::Display {
+    struct Name(WorkerId);
+    impl std::fmt::Display for Name {
+        fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+            write!(f, "s-{:08x}", self.0)
+        }
+    }
+    Name(worker)
+}
--- a/crates/badgerwind-gateway/src/platform/mod.rs
+++ b/crates/badgerwind-gateway/src/platform/mod.rs
@@ -4,6 +4,7 @@
 mod clients;
 mod discovery;
 mod executors;
+mod freshness;
 mod seldom;
 mod shell;
 mod wire;
@@ -179,7 +180,7 @@
             let now = self.clock.now();
             self.clients.sweep(&self, now);
             self.executors.sweep(&self, now);
-            self.report_source();
+            self.sweep_freshness();
         }
     }
 
--- a/crates/badgerwind-gateway/src/platform/seldom.rs
+++ b/crates/badgerwind-gateway/src/platform/seldom.rs
@@ -36,6 +36,8 @@
     pub answer: Seldom,
     /// Service discovery: what it sent, and that it cannot be had.
     pub discovery: Seldom,
+    /// What an outage of service discovery costs.
+    pub outage: Seldom,
     /// Executors that turn work away while the list of them is stale.
     pub turned_away: Seldom,
     /// Datagrams that cannot be used.
--- a/crates/badgerwind-gateway/src/platform/shell.rs
+++ b/crates/badgerwind-gateway/src/platform/shell.rs
@@ -9,8 +9,7 @@
 use async_channel::Sender;
 use badgerwind::interface::*;
 use badgerwind_driver::Output;
-use badgerwind_freshness::counters::Counters;
-use badgerwind_freshness::source::SourceWatch;
+use badgerwind_freshness::{Freshness, Terms};
 use badgerwind_instance::{Names, Transport};
 use badgerwind_platform::config::Config;
 use badgerwind_platform::shares::Shares;
@@ -55,11 +54,8 @@
     pub executors: Executors,
     pub peers: Option<Peers>,
     pub complaints: Complaints,
-    /// How old the list of executors is.
-    pub source: RefCell<SourceWatch>,
-    pub counters: RefCell<Counters>,
-    /// As they stood when the list became stale last.
-    pub counted: Cell<Counters>,
+    /// How old the list of executors is, and what they say themselves.
+    pub freshness: RefCell<Freshness>,
     /// SIGTERM has come.
     pub stopping: Cell<bool>,
     /// The time in which calls still come after it is over.
@@ -104,9 +100,7 @@
             executors: Executors::new(config.transport.connect_timeout),
             peers,
             complaints: Complaints::default(),
-            source: RefCell::new(SourceWatch::new(0)),
-            counters: RefCell::default(),
-            counted: Cell::default(),
+            freshness: RefCell::new(Freshness::new(clock.now(), freshness_terms(config))),
             stopping: Cell::new(false),
             closed: Cell::new(false),
         }))
@@ -118,6 +112,16 @@
     }
 }
 
+fn freshness_terms(config: &Config) -> Terms {
+    Terms {
+        drain_grace: config.router.drain_grace,
+        answer_within: config.transport.connect_timeout,
+        may_ask: config.router.may_order,
+        front_ends: config.router.front_ends,
+        chance: fastrand::Rng::with_seed(config.seed).f64(),
+    }
+}
+
 impl Peers {
     fn tell(&self, to: Option<u32>, bytes: &[u8]) {
         let bytes = &bytes[..bytes.len().min(MESSAGE)];
--- a/crates/badgerwind-platform/src/link.rs
+++ b/crates/badgerwind-platform/src/link.rs
@@ -1,9 +1,10 @@
 //! One connection to an executor: what waits, what has begun to go out, what is out whole. From this alone follows how
 //! an attempt ended: one whose last byte was never handed over has never run, any other may have. No I/O, no clock.
 
-use crate::line::{self, Said};
+use crate::line::{self, Said, Word};
 use badgerwind::interface::{CopyMark, Outcome, RequestId, Time};
 use badgerwind_driver::{AttemptEnd, CallOff, OrderId};
+use badgerwind_freshness::Evidence;
 use std::collections::VecDeque;
 
 /// Attempts given up whose answers may still come; beyond them a connection is used up.
@@ -37,11 +38,27 @@
     },
     /// A probe and its number.
     Probe(u64),
+    /// An order for no copies, which only asks: whether the executor takes work.
+    Question {
+        /// Its number.
+        number: u64,
+        /// The function, one that clients have called.
+        key: String,
+    },
     /// An order to unload; nothing answers it.
     Unload(String),
 }
 
 impl<C> Task<C> {
+    /// The function that it is about, where it is new work, which an executor that drains is not to be sent.
+    pub fn new_work(&self, key: impl Fn(&C) -> &str) -> Option<&str> {
+        match self {
+            Task::Attempt { content, .. } => Some(key(content)),
+            Task::Order { key, copies, .. } if *copies > 0 => Some(key),
+            _ => None,
+        }
+    }
+
     /// Whether it is this attempt.
     fn is(&self, id: &RequestId, attempt: u32) -> bool {
         matches!(self, Task::Attempt { id: i, attempt: a, .. } if i == id && *a == attempt)
@@ -57,6 +74,19 @@
     Order(OrderId),
     /// A probe.
     Probe,
+    /// A question.
+    Question,
+}
+
+/// What becomes of a task in line.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Start {
+    /// Its line begins.
+    Begun,
+    /// It stays in line.
+    Held,
+    /// It must not go out any more.
+    Dropped,
 }
 
 /// How something ended.
@@ -68,6 +98,8 @@
     Order(OrderId, Outcome, u32),
     /// A probe.
     Probe(Outcome),
+    /// A question; what an answer to it proves is told by [`Link::evidence`].
+    Question(Outcome),
     /// It never went out whole, so it never ran: it may go another way.
     Unsent(Task<C>),
 }
@@ -98,6 +130,8 @@
 struct Open {
     name: RequestId,
     owed: Owed,
+    /// Its first byte went out then at the earliest.
+    began: Time,
 }
 
 /// What a line of what goes out is.
@@ -112,6 +146,7 @@
 struct Line<C> {
     from: usize,
     to: usize,
+    began: Time,
     what: Begun<C>,
 }
 
@@ -127,6 +162,8 @@
     ghosts: VecDeque<RequestId>,
     /// Calls whose attempts ended here by a word other than ok.
     answered: VecDeque<RequestId>,
+    /// What the answers since the last look prove of the executor.
+    evidence: Vec<Evidence>,
     /// Part of a line.
     come: Vec<u8>,
     /// It takes nothing new, and closes once nothing is on it.
@@ -148,6 +185,7 @@
             open: Vec::new(),
             ghosts: VecDeque::new(),
             answered: VecDeque::new(),
+            evidence: Vec::new(),
             come: Vec::new(),
             spent: false,
             heard: now,
@@ -188,19 +226,56 @@
         self.queue.push_back(task);
     }
 
-    /// Begins what is in line. `write` appends its line, or says false where it must not go out any more.
-    pub fn begin(&mut self, mut write: impl FnMut(&Task<C>, &mut Vec<u8>) -> bool, ends: &mut Vec<End<C>>) {
-        for task in self.queue.drain(..) {
+    /// What is in line and has not begun.
+    pub fn waiting(&self) -> impl Iterator<Item = &Task<C>> {
+        self.queue.iter()
+    }
+
+    /// Begins what is in line. `write` appends its line where it says that it begins.
+    pub fn begin(
+        &mut self,
+        now: Time,
+        mut write: impl FnMut(&Task<C>, &mut Vec<u8>) -> Start,
+        ends: &mut Vec<End<C>>,
+    ) {
+        for task in std::mem::take(&mut self.queue) {
             let from = self.out.len();
-            if write(&task, &mut self.out) {
-                self.begun.push_back(Line { from, to: self.out.len(), what: Begun::Task(task) });
-            } else {
+            let start = write(&task, &mut self.out);
+            if start != Start::Begun {
                 self.out.truncate(from);
-                ends.push(End::Unsent(task));
+            }
+            match start {
+                Start::Begun => {
+                    let (to, what) = (self.out.len(), Begun::Task(task));
+                    self.begun.push_back(Line { from, to, began: now, what });
+                }
+                Start::Held => self.queue.push_back(task),
+                Start::Dropped => ends.push(End::Unsent(task)),
             }
         }
     }
 
+    /// Puts new work of which no byte was taken by the socket back in line, so that it is looked at again when its first
+    /// byte can go.
+    pub fn put_back(&mut self, is_new_work: impl Fn(&Task<C>) -> bool) {
+        let sent = self.sent;
+        let waits = |l: &Line<C>| l.from >= sent && matches!(&l.what, Begun::Task(t) if is_new_work(t));
+        while let Some(place) = self.begun.iter().rposition(waits) {
+            if let Some(Line { what: Begun::Task(task), .. }) = self.cut(place) {
+                self.queue.push_front(task);
+            }
+        }
+    }
+
+    /// Cuts a line out of what is to be sent; those after it move up.
+    fn cut(&mut self, place: usize) -> Option<Line<C>> {
+        let line = self.begun.remove(place)?;
+        let length = line.to - line.from;
+        self.begun.iter_mut().skip(place).for_each(|l| (l.from, l.to) = (l.from - length, l.to - length));
+        self.out.drain(line.from..line.to);
+        Some(line)
+    }
+
     /// What is to be sent.
     pub fn out(&self) -> &[u8] {
         &self.out[self.sent..]
@@ -218,13 +293,15 @@
                     continue;
                 }
             };
+            let began = line.began;
             let (name, owed): (RequestId, Owed) = match task {
                 Task::Attempt { id, attempt, .. } => (id.clone(), Owed::Attempt(id, attempt)),
                 Task::Order { order, .. } => (order_tag(order).into(), Owed::Order(order)),
                 Task::Probe(number) => (probe_tag(number).into(), Owed::Probe),
+                Task::Question { number, .. } => (question_tag(number).into(), Owed::Question),
                 Task::Unload(_) => continue,
             };
-            self.open.push(Open { name, owed });
+            self.open.push(Open { name, owed, began });
         }
         if self.sent >= self.out.len() {
             self.sent = 0;
@@ -240,18 +317,11 @@
             ends.push(End::Unsent(task));
             return true;
         }
-        // Behind lines that the socket has not taken yet: it is cut out, and those after it move up.
+        // Behind lines that the socket has not taken yet.
         let sent = self.sent;
         let waits = |l: &Line<C>| l.from >= sent && matches!(&l.what, Begun::Task(t) if is(t));
-        let Some(line) = self.begun.iter().position(waits).and_then(|n| {
-            let line = self.begun.remove(n)?;
-            let length = line.to - line.from;
-            self.begun.iter_mut().skip(n).for_each(|l| (l.from, l.to) = (l.from - length, l.to - length));
-            Some(line)
-        }) else {
-            return false;
-        };
-        self.out.drain(line.from..line.to);
+        let place = self.begun.iter().position(waits);
+        let Some(line) = place.and_then(|place| self.cut(place)) else { return false };
         if let Begun::Task(task) = line.what {
             ends.push(End::Unsent(task));
         }
@@ -269,7 +339,8 @@
             let from = self.out.len();
             line::kill(&mut self.out, id);
             let what = Begun::Kill(id.clone(), attempt, why);
-            self.begun.push_back(Line { from, to: self.out.len(), what });
+            let began = self.used;
+            self.begun.push_back(Line { from, to: self.out.len(), began, what });
             self.ghosts.push_back(id.clone());
             self.spent |= self.ghosts.len() > GHOSTS;
             return Off::Done;
@@ -331,7 +402,10 @@
             }
             Owed::Order(order) => End::Order(*order, said.word.order().ok_or(Spoilt::Line)?, said.copies),
             Owed::Probe => End::Probe(said.word.probe().ok_or(Spoilt::Line)?),
+            Owed::Question => End::Question(said.word.order().ok_or(Spoilt::Line)?),
         };
+        let open = &self.open[n];
+        self.evidence.extend(proves(&open.owed, open.began, said.word, said.copies));
         if let End::Attempt(id, _, end) = &end {
             // One that ended well is over; any other may be tried again.
             if end.outcome != Outcome::Ok {
@@ -344,6 +418,11 @@
         Ok(())
     }
 
+    /// What the answers since this was last asked prove of the executor.
+    pub fn evidence(&mut self) -> Vec<Evidence> {
+        std::mem::take(&mut self.evidence)
+    }
+
     fn remember(&mut self, id: RequestId) {
         if self.answered.len() >= ANSWERED {
             self.answered.pop_front();
@@ -361,6 +440,7 @@
                 Owed::Attempt(id, attempt) => End::Attempt(id, attempt, AttemptEnd::plain(outcome)),
                 Owed::Order(order) => End::Order(order, Outcome::Reset, 0),
                 Owed::Probe => End::Probe(Outcome::Reset),
+                Owed::Question => End::Question(Outcome::Reset),
             });
         }
         for line in self.begun.drain(..) {
@@ -387,6 +467,20 @@
     }
 }
 
+/// What an answer proves of the executor; `began`: the first byte of what it answers went out then at the earliest.
+fn proves(owed: &Owed, began: Time, word: Word, copies: u32) -> Option<Evidence> {
+    match (owed, word) {
+        (Owed::Attempt(..) | Owed::Order(_), Word::Hit) => {
+            Some(Evidence::TakesWork { since: began, copies: None })
+        }
+        (Owed::Attempt(..) | Owed::Order(_), Word::Shed) => Some(Evidence::TurnsAway),
+        (Owed::Question, Word::Hit) => Some(Evidence::TakesWork { since: began, copies: Some(copies) }),
+        (Owed::Question, Word::Shed) => Some(Evidence::Drains),
+        (Owed::Question, _) => Some(Evidence::Unclear),
+        _ => None,
+    }
+}
+
 fn off<C>(id: RequestId, attempt: u32, why: CallOff) -> End<C> {
     let outcome = match why {
         CallOff::Cancelled => Outcome::Cancelled,
@@ -404,3 +498,8 @@
 pub fn probe_tag(number: u64) -> String {
     format!("probe-{number}")
 }
+
+/// The same of a question.
+pub fn question_tag(number: u64) -> String {
+    format!("ask-{number}")
+}
--- a/crates/badgerwind-platform/tests/links.rs
+++ b/crates/badgerwind-platform/tests/links.rs
@@ -3,7 +3,7 @@
 use badgerwind::interface::{CopyMark, RequestId};
 use badgerwind_driver::{CallOff, OrderId};
 use badgerwind_platform::line;
-use badgerwind_platform::link::{End, Link, Off, Spoilt, Task};
+use badgerwind_platform::link::{End, Link, Off, Spoilt, Start, Task};
 use badgerwind_platform::reach::{Patience, Reach, Sharing};
 use proptest::prelude::*;
 
@@ -13,23 +13,24 @@
     Task::Attempt { id: id.into(), attempt: 0, content: (), limit: 9 }
 }
 
-fn write(task: &Task<()>, out: &mut Vec<u8>) -> bool {
+fn write(task: &Task<()>, out: &mut Vec<u8>) -> Start {
     match task {
         Task::Attempt { id, .. } => {
             line::call(out, &line::Call { id, kind: "k", obj: "f", ms: 9, body: b"hi" });
         }
         Task::Order { copies, .. } => line::load(out, "load-3", "f", *copies),
         Task::Probe(_) => line::probe(out, "probe-1"),
+        Task::Question { number, key } => line::load(out, &format!("ask-{number}"), key, 0),
         Task::Unload(key) => line::unload(out, key),
     }
-    true
+    Start::Begun
 }
 
 /// A link on which these attempts are out whole.
 fn out(ids: &[&str]) -> L {
     let (mut l, mut ends) = (L::new(0), Vec::new());
     ids.iter().for_each(|id| l.push(0, attempt(id)));
-    l.begin(write, &mut ends);
+    l.begin(0, write, &mut ends);
     l.sent(l.out().len(), &mut ends);
     assert!(ends.is_empty() && l.busy() == ids.len());
     l
@@ -41,6 +42,7 @@
         End::Attempt(id, n, end) => format!("{id}/{n} {:?}", end.outcome),
         End::Order(OrderId(n), outcome, copies) => format!("order {n} {outcome:?} {copies}"),
         End::Probe(outcome) => format!("probe {outcome:?}"),
+        End::Question(outcome) => format!("question {outcome:?}"),
         End::Unsent(Task::Attempt { id, .. }) => format!("{id} unsent"),
         End::Unsent(_) => "unsent".into(),
     };
@@ -70,7 +72,7 @@
         let mut l = L::new(0);
         let mut ends = Vec::new();
         l.push(0, attempt("a"));
-        l.begin(write, &mut ends);
+        l.begin(0, write, &mut ends);
         let whole = l.out().len();
         l.sent(whole.saturating_sub(short), &mut ends);
         let want = if short == 0 { "a/0 Reset" } else { "a unsent" };
@@ -86,7 +88,11 @@
     let (mut l, mut ends) = (L::new(0), Vec::new());
     l.push(0, attempt("late"));
     l.push(0, Task::Probe(1));
-    l.begin(|t, out| matches!(t, Task::Probe(_)) && write(t, out), &mut ends);
+    let probes_only = |t: &Task<()>, out: &mut Vec<u8>| match t {
+        Task::Probe(_) => write(t, out),
+        _ => Start::Dropped,
+    };
+    l.begin(0, probes_only, &mut ends);
     assert_eq!(words(ends), ["late unsent"]);
     assert!(l.out().starts_with(b"{\"type\":\"HELO\""));
 }
@@ -106,7 +112,7 @@
     let (mut l, mut ends) = (L::new(0), Vec::new());
     l.push(0, Task::Order { order: OrderId(3), key: "f".into(), copies: 2 });
     l.push(0, Task::Probe(1));
-    l.begin(write, &mut ends);
+    l.begin(0, write, &mut ends);
     l.sent(l.out().len(), &mut ends);
     let text = "{\"type\":\"SHED\",\"req\":\"load-3\",\"meta\":{\"slots_up\":\"1\"}}\n{\"type\":\"PONG\",\"req\":\"probe-1\"}\n";
     assert_eq!(feed(&mut l, text).0, ["order 3 Full 1", "probe Ok"]);
@@ -163,7 +169,7 @@
         let id = format!("n{n}");
         let mut ends = Vec::new();
         l.push(0, attempt(&id));
-        l.begin(write, &mut ends);
+        l.begin(0, write, &mut ends);
         l.sent(l.out().len(), &mut ends);
         feed(&mut l, &format!("{{\"type\":\"SHED\",\"req\":\"{id}\"}}\n"));
         assert!(!l.takes(&id));
@@ -176,7 +182,7 @@
 fn an_attempt_that_has_not_begun_is_withheld_also_behind_lines_that_the_socket_has_not_taken() {
     let (mut l, mut ends) = (L::new(0), Vec::new());
     ["a", "b", "c"].iter().for_each(|id| l.push(0, attempt(id)));
-    l.begin(write, &mut ends);
+    l.begin(0, write, &mut ends);
     l.push(0, attempt("d"));
     let line = l.out().len() / 3;
     l.sent(line + 1, &mut ends);
@@ -188,7 +194,7 @@
     assert_eq!(l.off(&"b".into(), 0, CallOff::Cancelled, &mut ends), Off::Cut);
     assert_eq!(l.out().len(), line - 1);
     l.push(0, attempt("e"));
-    l.begin(write, &mut ends);
+    l.begin(0, write, &mut ends);
     let text = String::from_utf8(l.out().to_vec()).unwrap();
     assert!(text.contains("\"e\"") && !text.contains("\"c\"") && !text.contains("\"d\""), "{text}");
     l.sent(l.out().len(), &mut ends);
@@ -208,7 +214,7 @@
 fn one_cut_in_the_middle_of_its_line_can_only_be_kept_back_by_the_connections_end() {
     let (mut l, mut ends) = (L::new(0), Vec::new());
     l.push(0, attempt("a"));
-    l.begin(write, &mut ends);
+    l.begin(0, write, &mut ends);
     l.sent(5, &mut ends);
     assert_eq!(l.off(&"a".into(), 0, CallOff::Cancelled, &mut ends), Off::Cut);
     assert_eq!(l.off(&"x".into(), 0, CallOff::Cancelled, &mut ends), Off::Unknown);
--- a/crates/badgerwind/src/events.rs
+++ b/crates/badgerwind/src/events.rs
@@ -29,6 +29,7 @@
                 self.on_loaded(worker, &function, Loaded { outcome, copies, lag }, out)
             }
             Event::Message { from, bytes } => self.on_message(from, &bytes),
+            Event::PresumedRestart { worker } => self.m.presume_restart(self.now, worker, FREE_LIMIT),
             Event::Parts(parts) => self.m.parts = parts,
             Event::Alarm { .. } | Event::Probed { .. } => {}
         }
--- a/crates/badgerwind/src/interface.rs
+++ b/crates/badgerwind/src/interface.rs
@@ -365,6 +365,12 @@
         /// The worker's load report.
         report: Option<Vec<f64>>,
     },
+    /// A worker's process counts as started just now, until the list says otherwise: nothing shows that it is the one of
+    /// before.
+    PresumedRestart {
+        /// The worker.
+        worker: WorkerId,
+    },
     /// What of the fleet's wholes is this front end's own from now on.
     Parts(Parts),
     /// A message from another front end.
--- a/crates/badgerwind/src/memory.rs
+++ b/crates/badgerwind/src/memory.rs
@@ -121,6 +121,16 @@
             self.forget_copies(e.worker, now);
         }
     }
+    /// A worker's process counts as started just now: empty and cold.
+    pub(crate) fn presume_restart(&mut self, now: Time, worker: WorkerId, limit: f64) {
+        let found = self.change_worker(worker, |w| {
+            (w.cold_at, w.cold_sends, w.presumed_restart) = (Some(now), 0, true);
+            (w.whole, w.limit) = (Health { heard: now, ..Health::default() }, limit);
+        });
+        if found.is_some() {
+            self.forget_copies(worker, now);
+        }
+    }
     /// Changes a worker, and the sums with it.
     pub(crate) fn change_worker<T>(
         &mut self,
--- a/crates/badgerwind/src/state.rs
+++ b/crates/badgerwind/src/state.rs
@@ -96,6 +96,8 @@
     pub born: Option<Time>,
     /// Start of its warming up, as told or as seen.
     pub cold_at: Option<Time>,
+    /// It is not known to have started anew; the list's next word of it holds.
+    pub presumed_restart: bool,
     /// Own attempts out, and own loads in hand.
     pub out: u32,
     pub loads: u32,
@@ -147,6 +149,9 @@
         self.gone = e.availability == Availability::Gone;
         let restarted = e.born != self.born && e.born.is_some();
         self.born = e.born.or(self.born);
+        if std::mem::take(&mut self.presumed_restart) {
+            self.cold_at = self.born;
+        }
         restarted
     }
     /// Books an attempt that ended well, and the most of them a second.
