Tests of who may be sent work while the list is stale, with a property over drains

18 tests of the state machine, one of them over drawn histories of an executor that drains: no work begins past the grace. Found by reading while they were written: a whole list left records of those it did not name, and a return to service forgot that the process counts as cold.

--- a/crates/badgerwind-freshness/src/confirmation.rs
+++ b/crates/badgerwind-freshness/src/confirmation.rs
@@ -178,6 +178,13 @@
         }
     }
 
+    /// Discovery told a whole list: whoever is not in it is gone.
+    pub fn listed_whole(&mut self, named: &BTreeSet<WorkerId>) {
+        self.records.retain(|worker, _| named.contains(worker));
+        self.deviating.retain(|worker| named.contains(worker));
+        self.asking.retain(|worker| named.contains(worker));
+    }
+
     /// The change of the list between fresh and stale since this was last asked, and what follows for executors.
     pub fn transition(&mut self, now: Time) -> (Option<Transition>, Vec<Change>) {
         let transition = self.source.transition(now);
@@ -348,11 +355,13 @@
         // The first word of a process: one that holds no copy of what is called there may have started just now.
         let met = std::mem::replace(&mut record.met, true);
         let mut changes = Vec::new();
-        if service == Service::Draining && std::mem::take(&mut record.withdrawn) {
+        let returns = service == Service::Draining && std::mem::take(&mut record.withdrawn);
+        if returns {
             changes.push(Change::AsListed(worker));
         }
-        // While discovery is heard, it tells of a new start itself.
-        if !fresh && (record.replaced || !met && copies == Some(0)) {
+        // While discovery is heard, it tells of a new start itself. A presumption holds beyond a return.
+        let empty_newcomer = !met && copies == Some(0);
+        if !fresh && (record.replaced || empty_newcomer || returns && record.presumed_restarted) {
             (record.presumed_restarted, record.replaced, record.lost) = (true, false, None);
             self.counters.restarted += 1;
             changes.push(Change::Restarted(worker));
--- /dev/null
+++ b/crates/badgerwind-freshness/tests/confirmation.rs
@@ -0,0 +1,328 @@
+//! Who may be sent new work while discovery is out of reach, over scripted answers and connections.
+
+use badgerwind_freshness::source::{Ending, Heard, Transition};
+use badgerwind_freshness::{Change, Evidence, Freshness, Permit, Terms};
+use proptest::prelude::*;
+
+const SECOND: u64 = 1_000_000;
+const GRACE: u64 = 500_000;
+const ANSWER_WITHIN: u64 = 250_000;
+const WORKER: u32 = 7;
+/// The list is stale from then on, where discovery was heard at the start and no more.
+const STALE: u64 = 5 * SECOND;
+
+fn terms() -> Terms {
+    Terms { drain_grace: GRACE, answer_within: ANSWER_WITHIN, may_ask: true, front_ends: 8, chance: 0.0 }
+}
+
+/// Discovery was heard at second 1 and is silent since; the list is stale, which was reported. The executor is known.
+fn stale() -> Freshness {
+    let mut freshness = Freshness::new(0, terms());
+    freshness.heard(SECOND, Heard::UpToDate);
+    freshness.transition(SECOND);
+    freshness.evidence(SECOND, WORKER, Evidence::TakesWork { since: SECOND, copies: None }, true);
+    let (transition, changes) = freshness.transition(STALE);
+    assert_eq!((transition, changes), (Some(Transition::Stale { age: Some(4 * SECOND) }), vec![]));
+    freshness
+}
+
+/// An answer to a question that went out then.
+fn takes_work(since: u64) -> Evidence {
+    Evidence::TakesWork { since, copies: Some(1) }
+}
+
+fn ask(freshness: &mut Freshness, now: u64) {
+    assert_eq!(freshness.permit(now, WORKER), Permit::Ask);
+    freshness.asked(now, WORKER, "f".into());
+    assert_eq!(freshness.permit(now, WORKER), Permit::Wait);
+}
+
+#[test]
+fn while_discovery_vouches_nobody_is_asked() {
+    let mut freshness = Freshness::new(0, terms());
+    freshness.heard(SECOND, Heard::UpToDate);
+    assert_eq!(freshness.permit(SECOND, WORKER), Permit::Granted);
+    freshness.evidence(SECOND, WORKER, Evidence::TurnsAway, true);
+    freshness.evidence(SECOND, WORKER, Evidence::Drains, true);
+    assert_eq!(freshness.permit(STALE - 1, WORKER), Permit::Granted);
+    assert_eq!(freshness.counters().questions, 0);
+}
+
+#[test]
+fn an_answer_is_worth_the_grace_from_the_first_byte_of_what_it_answers_on() {
+    let mut freshness = stale();
+    ask(&mut freshness, STALE);
+    // It came late: what it proves is as old as the question.
+    freshness.evidence(STALE + 200_000, WORKER, takes_work(STALE), true);
+    assert_eq!(freshness.permit(STALE + 200_000, WORKER), Permit::Granted);
+    assert_eq!(freshness.permit(STALE + GRACE - 20_000, WORKER), Permit::Granted);
+    assert_eq!(freshness.permit(STALE + GRACE, WORKER), Permit::Ask);
+    // One that came after its worth was over is worth nothing.
+    ask(&mut freshness, STALE + SECOND);
+    freshness.evidence(STALE + SECOND + GRACE, WORKER, takes_work(STALE + SECOND), true);
+    assert_eq!(freshness.permit(STALE + SECOND + GRACE, WORKER), Permit::Ask);
+}
+
+#[test]
+fn a_served_call_confirms_and_a_refused_one_ends_that() {
+    let mut freshness = stale();
+    let served = Evidence::TakesWork { since: STALE + 1, copies: None };
+    freshness.evidence(STALE + 2, WORKER, served, true);
+    assert_eq!(freshness.permit(STALE + 3, WORKER), Permit::Granted);
+    freshness.evidence(STALE + 4, WORKER, Evidence::TurnsAway, true);
+    assert_eq!(freshness.permit(STALE + 5, WORKER), Permit::Ask);
+    // Room that is wanting in the table of connections says nothing of the executor.
+    freshness.evidence(STALE + 6, WORKER, served, true);
+    freshness.evidence(STALE + 7, WORKER, Evidence::TurnsAway, false);
+    assert_eq!(freshness.permit(STALE + 8, WORKER), Permit::Granted);
+}
+
+#[test]
+fn refusals_in_a_row_pause_an_executor_for_longer_each_time() {
+    let mut freshness = stale();
+    freshness.evidence(STALE, WORKER, Evidence::TurnsAway, true);
+    freshness.evidence(STALE, WORKER, Evidence::TurnsAway, true);
+    assert_eq!(freshness.permit(STALE + 249_000, WORKER), Permit::Denied);
+    assert_eq!(freshness.permit(STALE + 250_000, WORKER), Permit::Ask);
+    freshness.evidence(STALE + SECOND, WORKER, Evidence::TurnsAway, true);
+    assert_eq!(freshness.permit(STALE + SECOND + 499_000, WORKER), Permit::Denied);
+}
+
+#[test]
+fn one_that_says_that_it_drains_is_out_of_service_until_it_says_otherwise() {
+    let mut freshness = stale();
+    ask(&mut freshness, STALE);
+    let changes = freshness.evidence(STALE, WORKER, Evidence::Drains, true);
+    assert_eq!(changes, [Change::OutOfService(WORKER)]);
+    assert_eq!(freshness.permit(STALE + 1, WORKER), Permit::Denied);
+    assert!(freshness.repeats(STALE + SECOND - 1).is_empty());
+    assert_eq!(freshness.repeats(STALE + SECOND), [(WORKER, "f".into())]);
+    freshness.asked(STALE + SECOND, WORKER, "f".into());
+    let changes = freshness.evidence(STALE + SECOND, WORKER, takes_work(STALE + SECOND), true);
+    assert_eq!(changes, [Change::AsListed(WORKER)]);
+    assert_eq!(freshness.permit(STALE + SECOND, WORKER), Permit::Granted);
+}
+
+/// A thousand front ends do not fell the one that they ask about.
+#[test]
+fn a_draining_executor_is_asked_again_at_a_pace_that_all_front_ends_share() {
+    let mut freshness = Freshness::new(0, Terms { front_ends: 800, chance: 0.5, ..terms() });
+    freshness.asked(1, WORKER, "f".into());
+    freshness.evidence(2, WORKER, Evidence::Drains, true);
+    assert!(freshness.repeats(149 * SECOND).is_empty());
+    assert_eq!(freshness.repeats(151 * SECOND).len(), 1);
+}
+
+#[test]
+fn a_refused_question_over_a_new_connection_may_be_for_want_of_room_there() {
+    let mut freshness = stale();
+    ask(&mut freshness, STALE);
+    assert!(freshness.evidence(STALE, WORKER, Evidence::Drains, false).is_empty());
+    assert_eq!(freshness.permit(STALE + 1, WORKER), Permit::Denied);
+    assert_eq!(freshness.permit(STALE + 100_000, WORKER), Permit::Ask);
+}
+
+#[test]
+fn a_question_without_an_answer_ends_and_what_waits_goes_another_way() {
+    let mut freshness = stale();
+    ask(&mut freshness, STALE);
+    assert!(freshness.overdue(STALE + ANSWER_WITHIN - 1).is_empty());
+    assert_eq!(freshness.overdue(STALE + ANSWER_WITHIN), [WORKER]);
+    assert!(freshness.overdue(STALE + ANSWER_WITHIN).is_empty());
+    assert_eq!(freshness.counters().unanswered, 1);
+}
+
+#[test]
+fn nobody_is_sent_to_an_address_that_refused_until_discovery_tells_who_is_there() {
+    let mut freshness = stale();
+    freshness.disconnected(STALE, WORKER);
+    assert_eq!(freshness.refused(STALE + 1, WORKER), [Change::OutOfService(WORKER)]);
+    freshness.connected(STALE + SECOND, WORKER);
+    assert!(freshness.evidence(STALE + SECOND, WORKER, takes_work(STALE + SECOND), true).is_empty());
+    assert_eq!(freshness.permit(STALE + SECOND, WORKER), Permit::Denied);
+    freshness.heard(STALE + 2 * SECOND, Heard::UpToDate);
+    let (_, changes) = freshness.transition(STALE + 2 * SECOND);
+    assert_eq!(changes, [Change::AsListed(WORKER)]);
+    assert_eq!(freshness.permit(STALE + 2 * SECOND, WORKER), Permit::Granted);
+}
+
+/// It was refused before the clock ran out, and discovery had no time to tell of it.
+#[test]
+fn an_address_that_refused_shortly_before_the_list_became_stale_counts_as_refused() {
+    let mut freshness = Freshness::new(0, terms());
+    freshness.heard(SECOND, Heard::UpToDate);
+    freshness.transition(SECOND);
+    assert!(freshness.refused(2 * SECOND, WORKER).is_empty(), "discovery vouches: the ordinary path");
+    assert_eq!(freshness.permit(2 * SECOND, WORKER), Permit::Granted);
+    assert_eq!(freshness.transition(STALE).1, [Change::OutOfService(WORKER)]);
+}
+
+#[test]
+fn what_refused_long_ago_is_discoverys_to_tell() {
+    let mut freshness = Freshness::new(0, terms());
+    freshness.heard(SECOND, Heard::UpToDate);
+    freshness.transition(SECOND);
+    freshness.refused(2 * SECOND, WORKER);
+    for second in 3..20 {
+        freshness.heard(second * SECOND, Heard::UpToDate);
+    }
+    assert_eq!(freshness.transition(30 * SECOND).1, []);
+    assert_eq!(freshness.permit(30 * SECOND, WORKER), Permit::Ask);
+}
+
+#[test]
+fn a_connection_that_comes_up_at_once_leads_to_the_same_process() {
+    let mut freshness = stale();
+    freshness.disconnected(STALE, WORKER);
+    freshness.connected(STALE + 200_000, WORKER);
+    ask(&mut freshness, STALE + 200_000);
+    assert!(freshness.evidence(STALE + 200_000, WORKER, takes_work(STALE + 200_000), true).is_empty());
+    assert_eq!(freshness.permit(STALE + 200_000, WORKER), Permit::Granted);
+}
+
+#[test]
+fn one_that_comes_up_later_or_after_silence_may_lead_to_another_which_is_cold() {
+    for (silent, gap) in [(false, 600_000), (true, 1_000)] {
+        let mut freshness = stale();
+        if silent {
+            ask(&mut freshness, STALE);
+            freshness.overdue(STALE + ANSWER_WITHIN);
+        }
+        let lost = STALE + SECOND;
+        freshness.disconnected(lost, WORKER);
+        freshness.connected(lost + gap, WORKER);
+        ask(&mut freshness, lost + gap);
+        let changes = freshness.evidence(lost + gap, WORKER, takes_work(lost + gap), true);
+        assert_eq!(changes, [Change::Restarted(WORKER)], "silent {silent}");
+        // Discovery's return undoes the presumption.
+        freshness.heard(lost + 2 * SECOND, Heard::UpToDate);
+        assert_eq!(freshness.transition(lost + 2 * SECOND).1, [Change::AsListed(WORKER)]);
+    }
+}
+
+#[test]
+fn the_first_word_of_an_executor_that_holds_no_copy_may_be_a_newcomers() {
+    let mut freshness = Freshness::new(0, terms());
+    let empty = Evidence::TakesWork { since: 1, copies: Some(0) };
+    assert_eq!(freshness.evidence(2, WORKER, empty, true), [Change::Restarted(WORKER)]);
+    assert_eq!(freshness.evidence(3, WORKER, empty, true), [], "once");
+    assert_eq!(freshness.evidence(3, 8, takes_work(2), true), [], "it was there before");
+}
+
+/// Discovery is back and knows nothing of the drain that the executor told: its own word goes before, and it is asked.
+#[test]
+fn discoverys_return_does_not_outdo_what_an_executor_said_itself() {
+    let mut freshness = stale();
+    freshness.asked(STALE, WORKER, "f".into());
+    freshness.evidence(STALE, WORKER, Evidence::Drains, true);
+    let back = STALE + SECOND;
+    freshness.heard(back, Heard::UpToDate);
+    assert_eq!(freshness.transition(back).1, [Change::AsListed(WORKER)]);
+    ask(&mut freshness, back);
+    assert_eq!(freshness.evidence(back, WORKER, Evidence::Drains, true), [Change::OutOfService(WORKER)]);
+    // An event that names it ends the matter.
+    freshness.listed(WORKER, false);
+    assert_eq!(freshness.permit(back, WORKER), Permit::Granted);
+}
+
+#[test]
+fn where_no_questions_may_be_asked_only_served_calls_confirm() {
+    let mut freshness = Freshness::new(0, Terms { may_ask: false, ..terms() });
+    assert_eq!(freshness.permit(SECOND, WORKER), Permit::Wait, "discovery's first word may come yet");
+    assert_eq!(freshness.permit(2 * SECOND, WORKER), Permit::Denied);
+    let served = Evidence::TakesWork { since: 2 * SECOND, copies: None };
+    freshness.evidence(2 * SECOND, WORKER, served, true);
+    assert_eq!(freshness.permit(2 * SECOND, WORKER), Permit::Granted);
+}
+
+#[test]
+fn the_end_of_an_outage_tells_what_it_cost() {
+    let mut freshness = stale();
+    ask(&mut freshness, STALE);
+    freshness.evidence(STALE, WORKER, takes_work(STALE), true);
+    freshness.sent(STALE);
+    assert_eq!((freshness.cost().questions, freshness.cost().sent_while_stale), (1, 1));
+    freshness.heard(STALE + SECOND, Heard::UpToDate);
+    freshness.transition(STALE + SECOND);
+    freshness.ended(STALE + SECOND, Ending::Broken);
+    freshness.transition(STALE + 4 * SECOND);
+    assert_eq!(freshness.cost(), Default::default());
+    assert_eq!(freshness.counters().outages, 2);
+}
+
+/// An executor as it is, whatever anybody knows: it drains at some time, and its answers take their time.
+#[derive(Clone, Copy, Debug)]
+enum Step {
+    Pass(u64),
+    Work,
+    Answer { after: u64, refuses_for_room: bool },
+    Disconnect,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        4 => (1u64..200_000).prop_map(Step::Pass),
+        4 => Just(Step::Work),
+        3 => (0u64..600_000, proptest::bool::weighted(0.2))
+            .prop_map(|(after, refuses_for_room)| Step::Answer { after, refuses_for_room }),
+        1 => Just(Step::Disconnect),
+    ]
+}
+
+proptest! {
+    /// Whatever comes when: work that begins does so within the grace after the drain, since all confirmations tell the truth
+    /// of the moment at which they were made.
+    #[test]
+    fn no_work_begins_past_the_grace_after_a_drain(
+        drains_after in 0u64..8 * SECOND,
+        steps in proptest::collection::vec(step(), 1..200),
+    ) {
+        let mut freshness = stale();
+        let drains = STALE + drains_after;
+        let mut now = STALE;
+        let mut question: Option<u64> = None;
+        let mut call: Option<u64> = None;
+        for step in steps {
+            match step {
+                Step::Pass(span) => {
+                    now += span;
+                    freshness.overdue(now);
+                }
+                Step::Work => match freshness.permit(now, WORKER) {
+                    Permit::Granted => {
+                        prop_assert!(now < drains + GRACE, "sent at {now}, drains at {drains}");
+                        call.get_or_insert(now);
+                    }
+                    Permit::Ask => {
+                        freshness.asked(now, WORKER, "f".into());
+                        question = Some(now);
+                    }
+                    Permit::Wait | Permit::Denied => {}
+                },
+                Step::Answer { after, refuses_for_room } => {
+                    // It took what it answers at some moment after that was sent, and answers later.
+                    if let Some(sent) = question.take() {
+                        let evidence = if sent + after < drains { takes_work(sent) } else { Evidence::Drains };
+                        now = now.max(sent + after);
+                        freshness.evidence(now, WORKER, evidence, !refuses_for_room);
+                    }
+                    if let Some(sent) = call.take() {
+                        let served = sent + after < drains && !refuses_for_room;
+                        let evidence = if served {
+                            Evidence::TakesWork { since: sent, copies: None }
+                        } else {
+                            Evidence::TurnsAway
+                        };
+                        now = now.max(sent + after);
+                        freshness.evidence(now, WORKER, evidence, true);
+                    }
+                }
+                Step::Disconnect => {
+                    freshness.disconnected(now, WORKER);
+                    freshness.connected(now + 1, WORKER);
+                    (question, call) = (None, None);
+                }
+            }
+        }
+    }
+}
--- a/crates/badgerwind-gateway/src/platform/discovery.rs
+++ b/crates/badgerwind-gateway/src/platform/discovery.rs
@@ -2,7 +2,7 @@
 
 use super::shell::{Input, Shell};
 use super::wire::is_short;
-use badgerwind::interface::{Availability, Time};
+use badgerwind::interface::{Availability, ListKind, Time};
 use badgerwind_freshness::source::Ending;
 use badgerwind_platform::board::{BadFrame, Follower, News};
 use badgerwind_platform::config::Places;
@@ -77,6 +77,10 @@
     pub(super) fn news(&self, news: &News) {
         self.executors.listed(self.clock.now(), news);
         let mut freshness = self.freshness.borrow_mut();
+        if news.kind != ListKind::Changes {
+            let named = news.entries.iter().map(|listed| listed.entry.worker).collect();
+            freshness.listed_whole(&named);
+        }
         for listed in &news.entries {
             let gone = listed.entry.availability == Availability::Gone;
             freshness.listed(listed.entry.worker, gone);
