--- a/crates/badgerwind-cli/tests/platform/outages.rs
+++ b/crates/badgerwind-cli/tests/platform/outages.rs
@@ -15,8 +15,8 @@
 use badgerwind_standins::platform::web::Ask;
 use badgerwind_standins::platform::{configuration, member, until};
 use serde_json::Value;
-use std::net::TcpListener;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -52,6 +52,9 @@
 /// At the most one for each executor of each of four front ends and half of a grace, through the outage.
 const MOST_QUESTIONS: usize = 4 * EXECUTORS * 70;
 
+/// Between two ends of connections, where these go on.
+const AGAIN: Duration = Duration::from_millis(500);
+
 /// How discovery goes out of reach.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Kind {
@@ -61,13 +64,29 @@
     Refuses,
     /// Connections end, new ones come up and say nothing.
     EndsAndIsSilent,
+    /// The same again and again.
+    Flaps,
+    /// SIGHUP names an address where nobody listens.
+    Moves,
+}
+
+/// What else fails meanwhile.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Beside {
+    Nothing,
+    /// A front end is killed, and started with the configuration of before.
+    Restart,
+    /// An executor that does not drain answers nothing any more.
+    Hang,
+    /// Executors end all of their connections twice a second.
+    Disconnects,
 }
 
 impl Kind {
     fn told_after(self) -> Duration {
         match self {
-            Kind::Silent => AFTER_SILENCE,
-            Kind::Refuses | Kind::EndsAndIsSilent => AFTER_BREAK,
+            Kind::Silent | Kind::Moves => AFTER_SILENCE,
+            Kind::Refuses | Kind::EndsAndIsSilent | Kind::Flaps => AFTER_BREAK,
         }
     }
 }
@@ -76,18 +95,30 @@
 struct Server {
     executor: Executor,
     drains: Arc<AtomicBool>,
+    hangs: Arc<AtomicBool>,
+    connections_ended: AtomicUsize,
 }
 
 impl Server {
     fn on(listener: TcpListener) -> Server {
-        let drains = Arc::<AtomicBool>::default();
-        let own = drains.clone();
-        let script = move |s: &Seen| match (s.word.as_str(), own.load(Ordering::Relaxed)) {
+        let (drains, hangs) = (Arc::<AtomicBool>::default(), Arc::<AtomicBool>::default());
+        let (drains_now, hangs_now) = (drains.clone(), hangs.clone());
+        let script = move |s: &Seen| match (s.word.as_str(), drains_now.load(Ordering::Relaxed)) {
+            _ if hangs_now.load(Ordering::Relaxed) => vec![],
             ("FN" | "SPAWN", true) => vec![Do::Write(say("SHED", s))],
             ("FN", false) => vec![Do::Wait(WORK), Do::Write(hit(s))],
             _ => well(s),
         };
-        Server { executor: Executor::on(listener, usize::MAX, script).unwrap(), drains }
+        let executor = Executor::on(listener, usize::MAX, script).unwrap();
+        Server { executor, drains, hangs, connections_ended: AtomicUsize::new(0) }
+    }
+
+    /// Ends all connections that have come up since the last time.
+    fn end_connections(&self) {
+        let up_to = self.executor.doors.opened.load(Ordering::Relaxed);
+        for connection in self.connections_ended.swap(up_to, Ordering::Relaxed)..up_to {
+            self.executor.close(connection);
+        }
     }
 
     fn start() -> Server {
@@ -129,7 +160,7 @@
     }
 }
 
-fn call_until(over: &AtomicBool, ended: &Ended, ids: &AtomicU64, address: std::net::SocketAddr) {
+fn call_until(over: &AtomicBool, ended: &Ended, ids: &AtomicU64, address: SocketAddr) {
     let connect = || badgerwind_standins::platform::web::Web::connect(address).ok();
     let mut web = connect();
     while !over.load(Ordering::Relaxed) {
@@ -201,47 +232,82 @@
         match kind {
             Kind::Silent => self.board.mood(Mood::Silent),
             Kind::Refuses => self.board.refuse(true),
-            Kind::EndsAndIsSilent => {
+            Kind::EndsAndIsSilent | Kind::Flaps => {
                 self.board.mood(Mood::Silent);
                 self.board.cut();
             }
+            Kind::Moves => {
+                // A port that was free a moment ago, on an address from which nobody draws ports.
+                let nowhere = TcpListener::bind("127.0.0.3:0").unwrap().local_addr().unwrap();
+                self.follow(nowhere);
+                self.board.mood(Mood::Silent);
+            }
         }
     }
 
-    fn end_outage(&self) {
+    fn end_outage(&self, kind: Kind) {
         self.board.mood(Mood::Well);
         self.board.refuse(false);
+        if kind == Kind::Moves {
+            self.follow(self.board.address);
+        }
+    }
+
+    /// Has all front ends follow discovery at another address.
+    fn follow(&self, board: SocketAddr) {
+        let mut config = self.config.clone();
+        config["board"] = serde_json::json!(board);
+        for front in &self.fronts {
+            let mut own = config.clone();
+            own["listen"] = front.config["listen"].clone();
+            front.replace(&own.to_string());
+            front.signal("-HUP");
+        }
     }
 
-    /// Plays an outage in which the two busiest executors drain and are replaced. `restart`: a front end is killed and
-    /// started within it.
-    fn outage(mut self, kind: Kind, restart: Option<usize>) -> Verdict {
+    /// Waits until so long after the outage began; meanwhile goes wrong what does so again and again.
+    fn wait_until(&self, end: Instant, kind: Kind, beside: Beside) {
+        while Instant::now() < end {
+            std::thread::sleep(end.saturating_duration_since(Instant::now()).min(AGAIN));
+            if kind == Kind::Flaps {
+                self.board.cut();
+            }
+            if beside == Beside::Disconnects {
+                self.servers.iter().for_each(Server::end_connections);
+            }
+        }
+    }
+
+    /// Plays an outage in which the two busiest executors drain and are replaced.
+    fn outage(mut self, kind: Kind, beside: Beside) -> Verdict {
         std::thread::sleep(WARM_UP);
-        let leaving = self.busiest()[..2].to_vec();
+        let busiest = self.busiest();
+        let leaving = busiest[..2].to_vec();
         let began = Instant::now();
-        let at = |after: Duration| std::thread::sleep(after.saturating_sub(began.elapsed()));
         self.begin_outage(kind);
-        at(DRAINS);
+        self.wait_until(began + DRAINS, kind, beside);
         for &n in &leaving {
             self.servers[n].drains.store(true, Ordering::Relaxed);
         }
         self.tell(&leaving, DRAINING);
-        if let Some(n) = restart {
-            at(DRAINS + AFTER_BREAK);
-            self.restart(n);
+        self.wait_until(began + DRAINS + AFTER_BREAK, kind, beside);
+        match beside {
+            Beside::Restart => self.restart(0),
+            Beside::Hang => self.servers[busiest[2]].hangs.store(true, Ordering::Relaxed),
+            Beside::Nothing | Beside::Disconnects => {}
         }
-        at(GOES);
+        self.wait_until(began + GOES, kind, beside);
         let forbidden = began + kind.told_after().max(DRAINS) + GRACE + READ_LATE;
         let past_grace = leaving.iter().map(|&n| self.servers[n].sends_since(forbidden)).sum();
         leaving.iter().for_each(|&n| self.servers[n].executor.stop());
         self.tell(&leaving, GONE);
-        at(NEWCOMERS);
+        self.wait_until(began + NEWCOMERS, kind, beside);
         let newcomers: Vec<_> = leaving.iter().map(|&n| self.replace(n)).collect();
-        at(RETURNS);
+        self.wait_until(began + RETURNS, kind, beside);
         let to_newcomers = newcomers.iter().map(|s| s.sends_since(began)).sum();
         let questions = self.questions_since(began) + newcomers.iter().map(questions).sum::<usize>();
         let ended = Instant::now();
-        self.end_outage();
+        self.end_outage(kind);
         assert!(self.fronts.iter().all(|f| f.logs(&["fresh again"])), "{:?}", self.fronts[0].lines());
         let taken_in = ended.elapsed();
         self.call_new_functions();
@@ -303,23 +369,38 @@
     assert!(verdict.questions < MOST_QUESTIONS, "{verdict:?}");
 }
 
-/// However discovery goes out of reach, and however many front ends it is out of reach for.
-#[test]
-fn drains_are_kept_while_discovery_is_out_of_reach() {
-    let plays = [(2, Kind::Silent), (2, Kind::Refuses), (4, Kind::EndsAndIsSilent)];
+/// Plays outages side by side.
+fn play(plays: &[(usize, Kind, Beside)]) {
     let verdicts: Vec<Verdict> = std::thread::scope(|scope| {
-        let play = |(fronts, kind)| scope.spawn(move || World::start(fronts).outage(kind, None));
-        let threads: Vec<_> = plays.into_iter().map(play).collect();
+        let play = |&(fronts, kind, beside)| scope.spawn(move || World::start(fronts).outage(kind, beside));
+        let threads: Vec<_> = plays.iter().map(play).collect();
         threads.into_iter().map(|thread| thread.join().unwrap()).collect()
     });
-    for ((fronts, kind), verdict) in plays.iter().zip(&verdicts) {
-        println!("{kind:?}, {fronts} front ends: {verdict:?}");
+    for (play, verdict) in plays.iter().zip(&verdicts) {
+        println!("{play:?}: {verdict:?}");
     }
     verdicts.iter().for_each(kept);
 }
 
+/// However discovery goes out of reach, and however many front ends it is out of reach for.
+#[test]
+fn drains_are_kept_while_discovery_is_out_of_reach() {
+    use Beside::Nothing;
+    play(&[(2, Kind::Silent, Nothing), (2, Kind::Refuses, Nothing), (4, Kind::EndsAndIsSilent, Nothing)]);
+}
+
 /// The outage did not begin anew with its start: the list that it is given may be as old as the outage.
 #[test]
 fn drains_are_kept_by_a_front_end_that_starts_while_discovery_is_out_of_reach() {
-    kept(&World::start(2).outage(Kind::Silent, Some(0)));
+    play(&[(2, Kind::Silent, Beside::Restart)]);
+}
+
+#[test]
+fn drains_are_kept_while_discovery_flaps_and_where_it_moves_to_nowhere() {
+    play(&[(2, Kind::Flaps, Beside::Nothing), (2, Kind::Moves, Beside::Nothing)]);
+}
+
+#[test]
+fn drains_are_kept_while_executors_fail_in_an_outage() {
+    play(&[(2, Kind::Silent, Beside::Hang), (2, Kind::Refuses, Beside::Disconnects)]);
 }
