Tests of held work, evidence and vouching frames; the webhook front tells how old its runner list is

Related code: the webhook front keeps calling runners as listed while its list service does not answer (docs/operate says so); its age was not to be seen and is a metric now.

--- a/crates/badgerwind-gateway/src/list.rs
+++ b/crates/badgerwind-gateway/src/list.rs
@@ -1,5 +1,6 @@
 //! The client of the list service, and the last list on disk.
 
+use crate::clock::unix_seconds;
 use crate::dispatch::{Input, ListCall};
 use crate::metrics::Metrics;
 use crate::runners::Runners;
@@ -94,6 +95,7 @@
                         tracing::info!(version = list.version, "the list service answers again");
                     }
                     (failing, version) = (false, Some(list.version));
+                    self.metrics.list_answered.set(unix_seconds().max(0) as u64);
                     let kind = if list.whole { ListKind::Whole } else { ListKind::Changes };
                     if list.whole || !list.runners.is_empty() {
                         self.take(&mut known, list, kind).await;
--- a/crates/badgerwind-gateway/src/metrics.rs
+++ b/crates/badgerwind-gateway/src/metrics.rs
@@ -70,6 +70,8 @@
     pub connections: Gauge,
     pub runners: Gauge,
     pub list_version: Gauge<u64, AtomicU64>,
+    /// Unix time of the list service's last answer, in seconds; 0 before the first.
+    pub list_answered: Gauge<u64, AtomicU64>,
     pub list_failures: Counter,
     pub batch_time: Histogram,
     pub remembered: Family<ByPart, Gauge>,
@@ -104,6 +106,7 @@
             connections: Gauge::default(),
             runners: Gauge::default(),
             list_version: Gauge::default(),
+            list_answered: Gauge::default(),
             list_failures: Counter::default(),
             batch_time,
             remembered: Family::default(),
@@ -140,6 +143,11 @@
         r.register("connections", "Connections of senders", m.connections.clone());
         r.register("runners_ready", "Runners listed as ready", m.runners.clone());
         r.register("list_version", "Version of the runner list", m.list_version.clone());
+        r.register(
+            "list_answered_timestamp_seconds",
+            "Unix time of the list service's last answer; 0 before the first",
+            m.list_answered.clone(),
+        );
         r.register("list_failures", "Questions to the list service that failed", m.list_failures.clone());
         let help = "How much the decision module remembers: workers, ready workers, cells, functions, planned and waiting ones";
         r.register("module_remembered", help, m.remembered.clone());
--- a/crates/badgerwind-platform/tests/boards.rs
+++ b/crates/badgerwind-platform/tests/boards.rs
@@ -1,6 +1,7 @@
 //! The notice board's frames, the configuration and a request's fields.
 
 use badgerwind::interface::{Availability, ListKind};
+use badgerwind_freshness::source::Heard;
 use badgerwind_instance::Names;
 use badgerwind_platform::board::{BadFrame, Follower, News};
 use badgerwind_platform::config::{self, Limits, Places};
@@ -66,6 +67,37 @@
     assert_eq!(feed(&mut f, &second).unwrap().len(), 1, "half a frame of before does not stand in its way");
 }
 
+/// Only an empty frame with the number of the last event had says that nothing follows it.
+#[test]
+fn only_an_empty_frame_that_names_the_last_event_vouches_for_the_list() {
+    let mut f = Follower::new(4);
+    let mut heard = |bytes: &[u8]| {
+        feed(&mut f, bytes).unwrap();
+        f.heard()
+    };
+    assert_eq!(heard(b""), Heard::Nothing);
+    assert_eq!(heard(&frame(4, 0, b"")), Heard::UpToDate);
+    assert_eq!(heard(b""), Heard::Nothing, "once");
+    assert_eq!(heard(&frame(5, 2, &record(1, 0))), Heard::Events);
+    assert_eq!(heard(&frame(4, 0, b"")), Heard::Nothing, "it knows less than was told before");
+    assert_eq!(heard(&[frame(6, 2, &record(1, 0)), frame(6, 0, b"")].concat()), Heard::UpToDate);
+    let half = &frame(6, 0, b"")[..7];
+    assert_eq!(heard(half), Heard::Nothing);
+    assert!(f.partial());
+}
+
+#[test]
+fn events_told_again_vouch_for_nothing_until_they_have_caught_up() {
+    let mut f = Follower::new(4);
+    assert!(feed(&mut f, &frame(7, 0, b"")).is_err());
+    f.ask();
+    feed(&mut f, &[frame(1, 1, &record(1, 0)), frame(1, 0, b"")].concat()).unwrap();
+    assert_ne!(f.heard(), Heard::UpToDate);
+    let rest: Vec<u8> = (2..=7).flat_map(|n| frame(n, 2, &record(2, 0))).chain(frame(7, 0, b"")).collect();
+    feed(&mut f, &rest).unwrap();
+    assert_eq!(f.heard(), Heard::UpToDate);
+}
+
 #[test]
 fn a_gap_is_noticed_and_all_is_asked_for() {
     for late in [frame(7, 2, &record(1, 0)), frame(7, 0, b"")] {
--- a/crates/badgerwind-platform/tests/links.rs
+++ b/crates/badgerwind-platform/tests/links.rs
@@ -2,6 +2,7 @@
 
 use badgerwind::interface::{CopyMark, RequestId};
 use badgerwind_driver::{CallOff, OrderId};
+use badgerwind_freshness::Evidence;
 use badgerwind_platform::line;
 use badgerwind_platform::link::{End, Link, Off, Spoilt, Start, Task};
 use badgerwind_platform::reach::{Patience, Reach, Sharing};
@@ -202,6 +203,74 @@
     assert_eq!(feed(&mut l, &hit("e")).0, ["e/0 Ok"]);
 }
 
+/// Work whose first byte the socket has not taken is looked at again when it can go: its executor may drain by then.
+#[test]
+fn work_of_which_no_byte_is_out_goes_back_in_line_in_its_order() {
+    let (mut l, mut ends) = (L::new(0), Vec::new());
+    ["a", "b", "c"].iter().for_each(|id| l.push(0, attempt(id)));
+    l.push(0, Task::Probe(1));
+    l.begin(0, write, &mut ends);
+    l.push(0, attempt("d"));
+    let line = line_length(&attempt("a"));
+    l.sent(line + 1, &mut ends);
+    l.put_back(|task| task.new_work(|()| "f").is_some());
+    let waiting: Vec<_> = l.waiting().map(|task| matches!(task, Task::Attempt { .. })).collect();
+    assert_eq!(waiting, [true, true], "c and d; a is out whole, b has begun, the probe is no work");
+    assert_eq!(l.out().len(), line - 1 + line_length(&Task::Probe(1)));
+    l.begin(1, |_, _| Start::Dropped, &mut ends);
+    assert_eq!(words(ends), ["c unsent", "d unsent"]);
+    assert_eq!(feed(&mut l, &hit("a")).0, ["a/0 Ok"]);
+}
+
+fn line_length(task: &Task<()>) -> usize {
+    let mut out = Vec::new();
+    write(task, &mut out);
+    out.len()
+}
+
+#[test]
+fn what_is_held_stays_in_line_until_it_may_begin_or_must_not() {
+    let (mut l, mut ends) = (L::new(0), Vec::new());
+    l.push(0, attempt("a"));
+    l.push(0, Task::Question { number: 1, key: "f".into() });
+    let hold_work = |task: &Task<()>, out: &mut Vec<u8>| match task {
+        Task::Attempt { .. } => Start::Held,
+        _ => write(task, out),
+    };
+    l.begin(0, hold_work, &mut ends);
+    assert!(l.out().starts_with(b"{\"type\":\"SPAWN\",\"req\":\"ask-1\"") && ends.is_empty());
+    assert_eq!(l.busy(), 2);
+    assert!(l.withhold(&"a".into(), 0, &mut ends), "its client may leave while it waits");
+}
+
+/// Each answer proves what the executor did at some moment after the first byte of what it answers, and no more.
+#[test]
+fn answers_prove_what_executors_did_after_what_they_answer_began() {
+    let answer = |task: Task<()>, word: &str, name: &str| {
+        let (mut l, mut ends) = (L::new(0), Vec::new());
+        l.push(3, task);
+        l.begin(5, write, &mut ends);
+        l.sent(l.out().len(), &mut ends);
+        let line = format!("{{\"type\":\"{word}\",\"req\":\"{name}\",\"meta\":{{\"slots_up\":2}}}}\n");
+        feed(&mut l, &line);
+        l.evidence()
+    };
+    let question = || Task::Question { number: 1, key: "f".into() };
+    let order = || Task::Order { order: OrderId(3), key: "f".into(), copies: 2 };
+    let takes = |copies| vec![Evidence::TakesWork { since: 5, copies }];
+    assert_eq!(answer(attempt("a"), "HIT", "a"), takes(None));
+    assert_eq!(answer(order(), "HIT", "load-3"), takes(None));
+    assert_eq!(answer(question(), "HIT", "ask-1"), takes(Some(2)));
+    assert_eq!(answer(attempt("a"), "SHED", "a"), [Evidence::TurnsAway]);
+    assert_eq!(answer(order(), "SHED", "load-3"), [Evidence::TurnsAway]);
+    assert_eq!(answer(question(), "SHED", "ask-1"), [Evidence::Drains]);
+    assert_eq!(answer(question(), "FAULT", "ask-1"), [Evidence::Unclear]);
+    for word in ["NONE", "FAULT", "LATE"] {
+        assert_eq!(answer(attempt("a"), word, "a"), [], "{word}");
+    }
+    assert_eq!(answer(Task::Probe(1), "SICK", "probe-1"), [], "what that means is told nowhere");
+}
+
 #[test]
 fn a_retired_connection_takes_nothing_new_and_ends_what_is_on_it() {
     let mut l = out(&["a"]);
--- a/crates/badgerwind/tests/module.rs
+++ b/crates/badgerwind/tests/module.rs
@@ -385,3 +385,30 @@
         assert!(within <= most, "{within} sends of {most} at {age} of the warming");
     }
 }
+
+/// Nothing shows that a worker's process is the one of before: it has the budget of one that has just started, and holds no
+/// copies, until the list tells of it.
+#[test]
+fn a_presumed_restart_leaves_a_worker_cold_until_the_list_tells_of_it() {
+    let mut set = settings(Effect::Repeatable);
+    set.when_absent = WhenAbsent::Load;
+    set.front_ends = 1;
+    let mut b = Bench::new(set, 1);
+    let only = 1;
+    for n in 0..100 {
+        b.ask(&format!("warm {n}"), "f", 3000 * MS);
+        b.answer(&format!("warm {n}"), 0, Outcome::Ok, CopyMark::Warm);
+        b.pass(50 * MS);
+    }
+    let sent_of = |b: &mut Bench, name: &str| {
+        for n in 0..60 {
+            b.ask(&format!("{name} {n}"), &format!("{name} f{n}"), 3000 * MS);
+        }
+        (0..60).filter(|n| !b.sends(&format!("{name} {n}")).is_empty()).count()
+    };
+    b.event(Event::PresumedRestart { worker: only });
+    let cold = sent_of(&mut b, "cold");
+    b.event(Event::List { kind: ListKind::Changes, entries: vec![entry(only, Availability::Ready, None)] });
+    let listed = sent_of(&mut b, "listed");
+    assert!(cold < 10 && listed > 30, "{cold} sends while it counts as cold, {listed} once it was listed");
+}
