--- a/crates/badgerwind-cli/tests/platform/main.rs
+++ b/crates/badgerwind-cli/tests/platform/main.rs
@@ -9,5 +9,6 @@
 mod newcomers;
 mod outages;
 mod peers;
+mod questions;
 mod rig;
 mod terms;
--- /dev/null
+++ b/crates/badgerwind-cli/tests/platform/questions.rs
@@ -0,0 +1,168 @@
+//! A front end that has not been told anything by service discovery asks executors before it sends them work: each crossing held
+//! at its exact state by a scripted executor.
+
+use crate::rig::{id, Rig, Script};
+use badgerwind_standins::platform::board::{Board, Mood};
+use badgerwind_standins::platform::executor::{say, well, Do, Executor, Seen};
+use badgerwind_standins::platform::until;
+use badgerwind_standins::platform::web::Ask;
+use serde_json::{json, Value};
+use std::net::TcpListener;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::Arc;
+
+/// A front end whose discovery says nothing, from its start on.
+fn untold(scripts: Vec<Script>) -> Rig {
+    untold_with(scripts, |_| {})
+}
+
+fn untold_with(scripts: Vec<Script>, change: impl FnOnce(&mut Value)) -> Rig {
+    let silent = Board::start(2).unwrap();
+    silent.mood(Mood::Silent);
+    let mut rig = Rig::with(scripts, |config| {
+        config["board"] = json!(silent.address);
+        change(config);
+    });
+    rig.board = silent;
+    rig
+}
+
+/// The same where answers are waited for, and worth something, for longer than a busy machine takes.
+fn untold_and_patient(scripts: Vec<Script>) -> Rig {
+    untold_with(scripts, |config| {
+        config["settings"]["allowed"]["connectTimeout"] = json!(20_000_000);
+        config["settings"]["rules"]["stopSendingWithin"] = json!(60_000_000);
+    })
+}
+
+fn is_question(s: &Seen) -> bool {
+    s.word == "SPAWN" && s.line["meta"]["slots_up"].as_u64() == Some(0)
+}
+
+fn questions(executor: &Executor) -> usize {
+    executor.seen().iter().filter(|s| is_question(s)).count()
+}
+
+/// Calls, and orders to load.
+fn work(executor: &Executor) -> Vec<Seen> {
+    executor
+        .seen()
+        .into_iter()
+        .filter(|s| matches!(s.word.as_str(), "FN" | "SPAWN") && !is_question(s))
+        .collect()
+}
+
+/// It answers questions once the test says so.
+fn answers_questions_once(open: &Arc<AtomicBool>) -> Script {
+    let open = open.clone();
+    Box::new(move |s: &Seen| {
+        if is_question(s) {
+            assert!(until(|| open.load(Ordering::Relaxed)));
+        }
+        well(s)
+    })
+}
+
+#[test]
+fn one_that_drains_is_asked_and_sent_neither_calls_nor_orders_to_load() {
+    let rig = untold(vec![Box::new(|s| match s.word.as_str() {
+        "FN" | "SPAWN" => vec![Do::Write(say("SHED", s))],
+        _ => well(s),
+    })]);
+    // The first question goes over a new connection, where a refusal may be for want of room.
+    (0..4).for_each(|n| _ = rig.call(&Ask { wait_ms: 400, ..Ask::new(n) }));
+    assert!(rig.logs(&["takes no new work", "s-a0000000"]), "{:?}", rig.lines());
+    let work = work(&rig.executors[0]);
+    assert!(questions(&rig.executors[0]) >= 2 && work.is_empty(), "{work:?}");
+}
+
+#[test]
+fn many_calls_share_one_question() {
+    let open = Arc::<AtomicBool>::default();
+    let rig = untold_and_patient(vec![answers_questions_once(&open)]);
+    let mut web = rig.web();
+    (1..=20).for_each(|n| web.ask(n, &Ask::new(n.into())).unwrap());
+    assert!(until(|| questions(&rig.executors[0]) == 1));
+    // Another call has come and gone by the time at which all of them wait.
+    assert_eq!(rig.health(), 200);
+    open.store(true, Ordering::Relaxed);
+    let served = (1..=20).filter(|_| web.answer().unwrap().status == 200).count();
+    assert_eq!(served, 20);
+    assert_eq!(questions(&rig.executors[0]), 1);
+}
+
+#[test]
+fn a_call_whose_client_leaves_while_the_question_is_out_never_begins() {
+    let open = Arc::<AtomicBool>::default();
+    let rig = untold_and_patient(vec![answers_questions_once(&open)]);
+    let (mut leaves, mut stays) = (rig.web(), rig.web());
+    let left = Ask::new(1);
+    leaves.ask(1, &left).unwrap();
+    assert!(until(|| questions(&rig.executors[0]) == 1));
+    leaves.abort(1).unwrap();
+    assert_eq!(rig.health(), 200);
+    open.store(true, Ordering::Relaxed);
+    stays.ask(1, &Ask::new(2)).unwrap();
+    assert_eq!(stays.answer().unwrap().status, 200);
+    assert!(rig.executors[0].words("FN").iter().all(|s| s.req != left.id));
+}
+
+/// The executor ends while nothing is out there, and another process has its address before anything is called again.
+#[test]
+fn nothing_goes_to_whoever_listens_at_the_address_of_one_that_has_gone() {
+    let rig = untold(vec![Box::new(well), Box::new(well)]);
+    let call = |n: u64| rig.call(&Ask { key: format!("{n:016x}"), ..Ask::new(n) }).status;
+    assert!((0..40).all(|n| call(n) == 200));
+    assert!(!rig.executors[0].words("FN").is_empty());
+    rig.executors[0].stop();
+    assert!(rig.logs(&["nobody listens there", &format!("s-{:08x}", id(0))]), "{:?}", rig.lines());
+    let mut listener = None;
+    assert!(until(|| {
+        listener = TcpListener::bind(rig.executors[0].address).ok();
+        listener.is_some()
+    }));
+    let newcomer = Executor::on(listener.unwrap(), usize::MAX, well).unwrap();
+    assert!((40..80).all(|n| call(n) == 200), "the other one serves");
+    assert!(newcomer.seen().is_empty(), "{:?}", newcomer.seen());
+}
+
+/// An executor that hangs answers no question: what waited for it goes another way, or is refused in time.
+#[test]
+fn one_that_answers_no_question_holds_up_nobody() {
+    let rig = untold(vec![Box::new(well), Box::new(|_| vec![])]);
+    let served = (0..40).filter(|&n| {
+        let key = format!("{n:016x}");
+        rig.call(&Ask { key, ..Ask::new(n) }).status == 200
+    });
+    assert!(served.count() >= 36);
+    assert!(work(&rig.executors[1]).is_empty());
+}
+
+#[test]
+fn a_stop_in_an_outage_answers_all_that_was_taken() {
+    let open = Arc::<AtomicBool>::default();
+    let mut rig = untold_and_patient(vec![answers_questions_once(&open)]);
+    let mut web = rig.web();
+    web.ask(1, &Ask::new(1)).unwrap();
+    assert!(until(|| questions(&rig.executors[0]) == 1));
+    rig.signal("-TERM");
+    assert!(rig.logs(&["stopping"]));
+    web.ask(2, &Ask::new(2)).unwrap();
+    open.store(true, Ordering::Relaxed);
+    let answers = [web.answer(), web.answer()].map(|a| a.map(|a| a.status).ok());
+    assert!(answers.iter().all(|a| matches!(a, Some(200 | 503))), "{answers:?}");
+    assert_eq!(rig.ended(), Some(0));
+}
+
+/// Discovery's first word ends the questions.
+#[test]
+fn once_discovery_vouches_nobody_is_asked_any_more() {
+    let rig = untold(vec![Box::new(well)]);
+    assert_eq!(rig.call(&Ask::new(1)).status, 200);
+    let asked = questions(&rig.executors[0]);
+    assert!(asked > 0);
+    rig.board.mood(Mood::Well);
+    assert!(rig.logs(&["fresh again"]));
+    assert!((2..40).all(|n| rig.call(&Ask::new(n)).status == 200));
+    assert_eq!(questions(&rig.executors[0]), asked);
+}
