--- a/crates/badgerwind-cli/tests/platform/questions.rs
+++ b/crates/badgerwind-cli/tests/platform/questions.rs
@@ -129,13 +129,19 @@
 /// An executor that hangs answers no question: what waited for it goes another way, or is refused in time.
 #[test]
 fn one_that_answers_no_question_holds_up_nobody() {
-    let rig = untold(vec![Box::new(well), Box::new(|_| vec![])]);
-    let served = (0..40).filter(|&n| {
-        let key = format!("{n:016x}");
-        rig.call(&Ask { key, ..Ask::new(n) }).status == 200
-    });
-    assert!(served.count() >= 36);
-    assert!(work(&rig.executors[1]).is_empty());
+    // Also where the module may call nothing off.
+    for may_cancel in [true, false] {
+        let rig = untold_with(vec![Box::new(well), Box::new(|_| vec![])], |config| {
+            config["settings"]["allowed"]["mayCancel"] = json!(may_cancel);
+        });
+        let served = (0..40).filter(|&n| {
+            let key = format!("{n:016x}");
+            rig.call(&Ask { key, wait_ms: 1_200, ..Ask::new(n) }).status == 200
+        });
+        let served = served.count();
+        assert!(served >= 40, "{served} of 40, cancel {may_cancel}");
+        assert!(work(&rig.executors[1]).is_empty());
+    }
 }
 
 #[test]
