--- a/crates/badgerwind-cli/tests/platform/outages.rs
+++ b/crates/badgerwind-cli/tests/platform/outages.rs
@@ -12,9 +12,9 @@
 use crate::rig::{id, Front};
 use badgerwind_standins::platform::board::{record, Board, Mood};
 use badgerwind_standins::platform::executor::{hit, say, well, Do, Executor, Seen};
-use badgerwind_standins::platform::web::Ask;
+use badgerwind_standins::platform::web::{Ask, Web};
 use badgerwind_standins::platform::{configuration, member, until};
-use serde_json::Value;
+use serde_json::{json, Value};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
@@ -34,24 +34,15 @@
 const WORK: Duration = Duration::from_millis(20);
 /// Calls before the outage.
 const WARM_UP: Duration = Duration::from_millis(2_500);
-/// From the outage's start: the busiest executors begin to drain, are gone, and others have their addresses.
-const DRAINS: Duration = Duration::from_millis(300);
-const GOES: Duration = Duration::from_millis(7_000);
-const NEWCOMERS: Duration = Duration::from_millis(8_000);
-const RETURNS: Duration = Duration::from_millis(10_000);
 /// What counts as told 2 s after a break, and 4 s after silence began.
 const AFTER_BREAK: Duration = Duration::from_secs(2);
 const AFTER_SILENCE: Duration = Duration::from_secs(4);
-/// `rules.stopSendingWithin` of the configuration and the protocol's slack; and what a busy machine may add between a first byte
-/// and its being read here.
-const GRACE: Duration = Duration::from_millis(350);
+/// The protocol's slack, and what a busy machine may add between a first byte and its being read here.
+const SLACK: Duration = Duration::from_millis(50);
 const READ_LATE: Duration = Duration::from_millis(250);
 /// Discovery's return is taken in by then: an empty frame comes each second, and a busy machine may be late.
 const TAKEN_IN: Duration = Duration::from_millis(2_500);
 
-/// At the most one for each executor of each of four front ends and half of a grace, through the outage.
-const MOST_QUESTIONS: usize = 4 * EXECUTORS * 70;
-
 /// Between two ends of connections, where these go on.
 const AGAIN: Duration = Duration::from_millis(500);
 
@@ -91,6 +82,60 @@
     }
 }
 
+/// An outage in which the two busiest executors drain and are replaced, and what else fails in it. Times from its start.
+#[derive(Clone, Copy, Debug)]
+struct Plan {
+    fronts: usize,
+    kind: Kind,
+    beside: Beside,
+    /// They begin to drain, are gone, and others have their addresses.
+    drains: Duration,
+    go: Duration,
+    replaced: Duration,
+    /// Discovery is back.
+    returns: Duration,
+    /// `rules.stopSendingWithin`.
+    grace: Duration,
+    /// How long clients wait.
+    wait: Duration,
+}
+
+impl Plan {
+    fn new(fronts: usize, kind: Kind, beside: Beside) -> Plan {
+        let ms = Duration::from_millis;
+        let (drains, go, replaced, returns) = (ms(300), ms(7_000), ms(8_000), ms(10_000));
+        Plan { fronts, kind, beside, drains, go, replaced, returns, grace: ms(300), wait: ms(2_000) }
+    }
+
+    /// One that follows from a seed.
+    fn drawn(seed: u64) -> Plan {
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let kinds = [Kind::Silent, Kind::Refuses, Kind::EndsAndIsSilent, Kind::Flaps, Kind::Moves];
+        let besides = [Beside::Nothing, Beside::Restart, Beside::Hang, Beside::Disconnects];
+        let kind = kinds[rng.usize(..kinds.len())];
+        let beside = besides[rng.usize(..besides.len())];
+        let mut ms = |range: std::ops::Range<u64>| Duration::from_millis(rng.u64(range));
+        let drains = ms(0..5_000);
+        let go = drains + Duration::from_secs(5) + ms(0..4_000);
+        let replaced = go + ms(1_000..3_000);
+        let returns = replaced + ms(1_000..4_000);
+        let (grace, wait) = (ms(100..1_000), ms(322..3_000));
+        let fronts = 1 + rng.usize(..4);
+        Plan { fronts, kind, beside, drains, go, replaced, returns, grace, wait }
+    }
+
+    /// From then on nothing goes to those that drain.
+    fn forbidden_after(&self) -> Duration {
+        self.kind.told_after().max(self.drains) + self.grace + SLACK + READ_LATE
+    }
+
+    /// One for each executor of each front end and half of a grace, through the outage.
+    fn most_questions(&self) -> usize {
+        let graces = self.returns.as_millis() / (self.grace.as_millis() / 2);
+        self.fronts * EXECUTORS * graces as usize
+    }
+}
+
 /// An executor that turns work away once it drains.
 struct Server {
     executor: Executor,
@@ -144,11 +189,11 @@
 }
 
 impl Load {
-    fn begin(front: &Front, ids: &Arc<AtomicU64>) -> Load {
+    fn begin(front: &Front, ids: &Arc<AtomicU64>, wait: Duration) -> Load {
         let (ended, over) = (Arc::<Ended>::default(), Arc::<AtomicBool>::default());
         let sender = |_| {
             let (ended, over, ids, address) = (ended.clone(), over.clone(), ids.clone(), front.address);
-            std::thread::spawn(move || call_until(&over, &ended, &ids, address))
+            std::thread::spawn(move || call_until(&over, &ended, &ids, (address, wait)))
         };
         let threads = (0..SENDERS).map(sender).collect();
         Load { ended, over, threads }
@@ -160,12 +205,13 @@
     }
 }
 
-fn call_until(over: &AtomicBool, ended: &Ended, ids: &AtomicU64, address: SocketAddr) {
-    let connect = || badgerwind_standins::platform::web::Web::connect(address).ok();
+fn call_until(over: &AtomicBool, ended: &Ended, ids: &AtomicU64, (address, wait): (SocketAddr, Duration)) {
+    let connect = || Web::connect(address).ok();
     let mut web = connect();
     while !over.load(Ordering::Relaxed) {
         let n = ids.fetch_add(1, Ordering::Relaxed);
-        let ask = Ask { key: format!("{:016x}", n % FUNCTIONS), wait_ms: 2_000, ..Ask::new(n) };
+        let ask =
+            Ask { key: format!("{:016x}", n % FUNCTIONS), wait_ms: wait.as_millis() as u64, ..Ask::new(n) };
         let sent = Instant::now();
         let answer = web.as_mut().and_then(|web| web.ask(1, &ask).and_then(|()| web.answer()).ok());
         let served = answer.is_some_and(|a| a.status == 200 && a.body == ask.body);
@@ -185,6 +231,7 @@
     loads: Vec<Load>,
     ids: Arc<AtomicU64>,
     config: Value,
+    plan: Plan,
 }
 
 /// What an outage led to.
@@ -201,16 +248,17 @@
 }
 
 impl World {
-    fn start(fronts: usize) -> World {
+    fn start(plan: Plan) -> World {
         let board = Board::start(2).unwrap();
         let servers: Vec<_> = (0..EXECUTORS).map(|_| Server::start()).collect();
         let listed = servers.iter().enumerate().map(|(n, s)| member(id(n), s.executor.address, "in_service"));
-        let config =
+        let mut config =
             configuration("127.0.0.1:0".parse().unwrap(), board.address, &listed.collect::<Vec<_>>());
-        let fronts: Vec<_> = (0..fronts).map(|_| Front::start(config.clone())).collect();
+        config["settings"]["rules"]["stopSendingWithin"] = json!(plan.grace.as_micros() as u64);
+        let fronts: Vec<_> = (0..plan.fronts).map(|_| Front::start(config.clone())).collect();
         let ids = Arc::new(AtomicU64::new(1));
-        let loads = fronts.iter().map(|f| Load::begin(f, &ids)).collect();
-        World { board, servers, fronts, loads, ids, config }
+        let loads = fronts.iter().map(|f| Load::begin(f, &ids, plan.wait)).collect();
+        World { board, servers, fronts, loads, ids, config, plan }
     }
 
     /// Kills a front end and starts it again with the configuration of before.
@@ -218,7 +266,7 @@
         self.loads[n].end();
         self.fronts[n].kill();
         self.fronts[n] = Front::start(self.config.clone());
-        self.loads[n] = Load::begin(&self.fronts[n], &self.ids);
+        self.loads[n] = Load::begin(&self.fronts[n], &self.ids, self.plan.wait);
     }
 
     /// The executors that served most, busiest first.
@@ -256,7 +304,7 @@
     /// Has all front ends follow discovery at another address.
     fn follow(&self, board: SocketAddr) {
         let mut config = self.config.clone();
-        config["board"] = serde_json::json!(board);
+        config["board"] = json!(board);
         for front in &self.fronts {
             let mut own = config.clone();
             own["listen"] = front.config["listen"].clone();
@@ -266,48 +314,49 @@
     }
 
     /// Waits until so long after the outage began; meanwhile goes wrong what does so again and again.
-    fn wait_until(&self, end: Instant, kind: Kind, beside: Beside) {
+    fn wait_until(&self, end: Instant) {
         while Instant::now() < end {
             std::thread::sleep(end.saturating_duration_since(Instant::now()).min(AGAIN));
-            if kind == Kind::Flaps {
+            if self.plan.kind == Kind::Flaps {
                 self.board.cut();
             }
-            if beside == Beside::Disconnects {
+            if self.plan.beside == Beside::Disconnects {
                 self.servers.iter().for_each(Server::end_connections);
             }
         }
     }
 
-    /// Plays an outage in which the two busiest executors drain and are replaced.
-    fn outage(mut self, kind: Kind, beside: Beside) -> Verdict {
+    /// Plays the outage.
+    fn play(mut self) -> Verdict {
+        let plan = self.plan;
         std::thread::sleep(WARM_UP);
         let busiest = self.busiest();
         let leaving = busiest[..2].to_vec();
         let began = Instant::now();
-        self.begin_outage(kind);
-        self.wait_until(began + DRAINS, kind, beside);
+        self.begin_outage(plan.kind);
+        self.wait_until(began + plan.drains);
         for &n in &leaving {
             self.servers[n].drains.store(true, Ordering::Relaxed);
         }
         self.tell(&leaving, DRAINING);
-        self.wait_until(began + DRAINS + AFTER_BREAK, kind, beside);
-        match beside {
+        self.wait_until(began + plan.drains + AFTER_BREAK);
+        match plan.beside {
             Beside::Restart => self.restart(0),
             Beside::Hang => self.servers[busiest[2]].hangs.store(true, Ordering::Relaxed),
             Beside::Nothing | Beside::Disconnects => {}
         }
-        self.wait_until(began + GOES, kind, beside);
-        let forbidden = began + kind.told_after().max(DRAINS) + GRACE + READ_LATE;
+        self.wait_until(began + plan.go);
+        let forbidden = began + plan.forbidden_after();
         let past_grace = leaving.iter().map(|&n| self.servers[n].sends_since(forbidden)).sum();
         leaving.iter().for_each(|&n| self.servers[n].executor.stop());
         self.tell(&leaving, GONE);
-        self.wait_until(began + NEWCOMERS, kind, beside);
+        self.wait_until(began + plan.replaced);
         let newcomers: Vec<_> = leaving.iter().map(|&n| self.replace(n)).collect();
-        self.wait_until(began + RETURNS, kind, beside);
+        self.wait_until(began + plan.returns);
         let to_newcomers = newcomers.iter().map(|s| s.sends_since(began)).sum();
         let questions = self.questions_since(began) + newcomers.iter().map(questions).sum::<usize>();
         let ended = Instant::now();
-        self.end_outage(kind);
+        self.end_outage(plan.kind);
         assert!(self.fronts.iter().all(|f| f.logs(&["fresh again"])), "{:?}", self.fronts[0].lines());
         let taken_in = ended.elapsed();
         self.call_new_functions();
@@ -363,44 +412,60 @@
 }
 
 /// No rule is broken, and those executors that are ready go on serving.
-fn kept(verdict: &Verdict) {
-    assert_eq!((verdict.past_grace, verdict.to_newcomers), (0, 0), "{verdict:?}");
-    assert!(verdict.served >= 0.9, "{verdict:?}");
-    assert!(verdict.questions < MOST_QUESTIONS, "{verdict:?}");
+fn kept(plan: &Plan, verdict: &Verdict) {
+    let text = format!("{plan:?}: {verdict:?}");
+    assert_eq!((verdict.past_grace, verdict.to_newcomers), (0, 0), "{text}");
+    assert!(verdict.served >= 0.9, "{text}");
+    assert!(verdict.questions < plan.most_questions(), "{text}");
 }
 
 /// Plays outages side by side.
-fn play(plays: &[(usize, Kind, Beside)]) {
+fn play(plans: &[Plan]) {
     let verdicts: Vec<Verdict> = std::thread::scope(|scope| {
-        let play = |&(fronts, kind, beside)| scope.spawn(move || World::start(fronts).outage(kind, beside));
-        let threads: Vec<_> = plays.iter().map(play).collect();
+        let play = |&plan| scope.spawn(move || World::start(plan).play());
+        let threads: Vec<_> = plans.iter().map(play).collect();
         threads.into_iter().map(|thread| thread.join().unwrap()).collect()
     });
-    for (play, verdict) in plays.iter().zip(&verdicts) {
-        println!("{play:?}: {verdict:?}");
+    for (plan, verdict) in plans.iter().zip(&verdicts) {
+        println!("{plan:?}: {verdict:?}");
     }
-    verdicts.iter().for_each(kept);
+    plans.iter().zip(&verdicts).for_each(|(plan, verdict)| kept(plan, verdict));
 }
 
 /// However discovery goes out of reach, and however many front ends it is out of reach for.
 #[test]
 fn drains_are_kept_while_discovery_is_out_of_reach() {
-    use Beside::Nothing;
-    play(&[(2, Kind::Silent, Nothing), (2, Kind::Refuses, Nothing), (4, Kind::EndsAndIsSilent, Nothing)]);
+    let plan = |fronts, kind| Plan::new(fronts, kind, Beside::Nothing);
+    play(&[plan(2, Kind::Silent), plan(2, Kind::Refuses), plan(4, Kind::EndsAndIsSilent)]);
 }
 
 /// The outage did not begin anew with its start: the list that it is given may be as old as the outage.
 #[test]
 fn drains_are_kept_by_a_front_end_that_starts_while_discovery_is_out_of_reach() {
-    play(&[(2, Kind::Silent, Beside::Restart)]);
+    play(&[Plan::new(2, Kind::Silent, Beside::Restart)]);
 }
 
 #[test]
 fn drains_are_kept_while_discovery_flaps_and_where_it_moves_to_nowhere() {
-    play(&[(2, Kind::Flaps, Beside::Nothing), (2, Kind::Moves, Beside::Nothing)]);
+    let plan = |kind| Plan::new(2, kind, Beside::Nothing);
+    play(&[plan(Kind::Flaps), plan(Kind::Moves)]);
 }
 
 #[test]
 fn drains_are_kept_while_executors_fail_in_an_outage() {
-    play(&[(2, Kind::Silent, Beside::Hang), (2, Kind::Refuses, Beside::Disconnects)]);
+    play(&[Plan::new(2, Kind::Silent, Beside::Hang), Plan::new(2, Kind::Refuses, Beside::Disconnects)]);
+}
+
+/// Seeds played by default; `OUTAGE_SEEDS=1-50` plays more, four at a time.
+const SEEDS: &str = "1-4";
+
+#[test]
+fn drains_are_kept_in_outages_drawn_from_seeds() {
+    let seeds = std::env::var("OUTAGE_SEEDS").unwrap_or(SEEDS.into());
+    let (first, last) = seeds.split_once('-').expect("OUTAGE_SEEDS is FIRST-LAST");
+    let all: Vec<u64> = (first.parse().unwrap()..=last.parse().unwrap()).collect();
+    for seeds in all.chunks(4) {
+        println!("seeds {seeds:?}");
+        play(&seeds.iter().map(|seed| Plan::drawn(*seed)).collect::<Vec<_>>());
+    }
 }
