--- a/crates/badgerwind-gateway/src/platform/freshness.rs
+++ b/crates/badgerwind-gateway/src/platform/freshness.rs
@@ -1,6 +1,6 @@
 //! Carries out what follows from the age of the list of executors: asks them, tells the module, keeps work back.
 
-use super::executors::{Connection, Out};
+use super::connection::{Connection, Out};
 use super::shell::{Input, Shell};
 use badgerwind::interface::*;
 use badgerwind_freshness::source::{Ending, Heard, Transition};
--- a/crates/badgerwind-gateway/src/platform/mod.rs
+++ b/crates/badgerwind-gateway/src/platform/mod.rs
@@ -2,6 +2,7 @@
 //! other, all on one thread. Nothing here decides where a call goes or whether it is tried again.
 
 mod clients;
+mod connection;
 mod discovery;
 mod executors;
 mod freshness;
--- a/crates/badgerwind-scale/src/rows/mod.rs
+++ b/crates/badgerwind-scale/src/rows/mod.rs
@@ -13,6 +13,7 @@
 pub mod load;
 pub mod members;
 pub mod network;
+pub mod outages;
 pub mod register;
 pub mod router;
 pub mod workers;
@@ -35,6 +36,7 @@
     all.extend(config::rows());
     all.extend(config_in_force::rows());
     all.extend(control::rows());
+    all.extend(outages::rows());
     all
 }
 
