Executors confirm by a probe and an order for no copies together: either may be answered well by one that drains

Both are asked now, and both have to be answered well; orders to load prove nothing any more. One that denies is asked again after 1 s, then ever less often.

The stand-ins deny by one of the two, as a plan says.

--- a/crates/badgerwind-cli/tests/platform/outages.rs
+++ b/crates/badgerwind-cli/tests/platform/outages.rs
@@ -61,6 +61,13 @@
     Moves,
 }
 
+/// By which of the questions an executor that drains denies to take work; it answers the other one well.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Denial {
+    Probe,
+    Order,
+}
+
 /// What else fails meanwhile.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Beside {
@@ -88,6 +95,7 @@
     fronts: usize,
     kind: Kind,
     beside: Beside,
+    denial: Denial,
     /// They begin to drain, are gone, and others have their addresses.
     drains: Duration,
     go: Duration,
@@ -104,7 +112,8 @@
     fn new(fronts: usize, kind: Kind, beside: Beside) -> Plan {
         let ms = Duration::from_millis;
         let (drains, go, replaced, returns) = (ms(300), ms(7_000), ms(8_000), ms(10_000));
-        Plan { fronts, kind, beside, drains, go, replaced, returns, grace: ms(300), wait: ms(2_000) }
+        let (grace, wait) = (ms(300), ms(2_000));
+        Plan { fronts, kind, beside, denial: Denial::Probe, drains, go, replaced, returns, grace, wait }
     }
 
     /// One that follows from a seed.
@@ -114,6 +123,7 @@
         let besides = [Beside::Nothing, Beside::Restart, Beside::Hang, Beside::Disconnects];
         let kind = kinds[rng.usize(..kinds.len())];
         let beside = besides[rng.usize(..besides.len())];
+        let denial = if rng.bool() { Denial::Probe } else { Denial::Order };
         let mut ms = |range: std::ops::Range<u64>| Duration::from_millis(rng.u64(range));
         let drains = ms(0..5_000);
         let go = drains + Duration::from_secs(5) + ms(0..4_000);
@@ -121,7 +131,7 @@
         let returns = replaced + ms(1_000..4_000);
         let (grace, wait) = (ms(100..1_000), ms(322..3_000));
         let fronts = 1 + rng.usize(..4);
-        Plan { fronts, kind, beside, drains, go, replaced, returns, grace, wait }
+        Plan { fronts, kind, beside, denial, drains, go, replaced, returns, grace, wait }
     }
 
     /// From then on nothing goes to those that drain.
@@ -129,10 +139,10 @@
         self.kind.told_after().max(self.drains) + self.grace + SLACK + READ_LATE
     }
 
-    /// One for each executor of each front end and half of a grace, through the outage.
+    /// Two for each executor of each front end and half of a grace, through the outage.
     fn most_questions(&self) -> usize {
         let graces = self.returns.as_millis() / (self.grace.as_millis() / 2);
-        self.fronts * EXECUTORS * graces as usize
+        2 * self.fronts * EXECUTORS * graces as usize
     }
 }
 
@@ -145,12 +155,14 @@
 }
 
 impl Server {
-    fn on(listener: TcpListener) -> Server {
+    fn on(listener: TcpListener, denial: Denial) -> Server {
         let (drains, hangs) = (Arc::<AtomicBool>::default(), Arc::<AtomicBool>::default());
         let (drains_now, hangs_now) = (drains.clone(), hangs.clone());
         let script = move |s: &Seen| match (s.word.as_str(), drains_now.load(Ordering::Relaxed)) {
             _ if hangs_now.load(Ordering::Relaxed) => vec![],
-            ("FN" | "SPAWN", true) => vec![Do::Write(say("SHED", s))],
+            ("FN", true) => vec![Do::Write(say("SHED", s))],
+            ("HELO", true) if denial == Denial::Probe => vec![Do::Write(say("SICK", s))],
+            ("SPAWN", true) if denial == Denial::Order => vec![Do::Write(say("SHED", s))],
             ("FN", false) => vec![Do::Wait(WORK), Do::Write(hit(s))],
             _ => well(s),
         };
@@ -166,8 +178,8 @@
         }
     }
 
-    fn start() -> Server {
-        Server::on(TcpListener::bind("127.0.0.1:0").unwrap())
+    fn start(denial: Denial) -> Server {
+        Server::on(TcpListener::bind("127.0.0.1:0").unwrap(), denial)
     }
 
     /// What the drain rule forbids that has come since a moment.
@@ -250,7 +262,7 @@
 impl World {
     fn start(plan: Plan) -> World {
         let board = Board::start(2).unwrap();
-        let servers: Vec<_> = (0..EXECUTORS).map(|_| Server::start()).collect();
+        let servers: Vec<_> = (0..EXECUTORS).map(|_| Server::start(plan.denial)).collect();
         let listed = servers.iter().enumerate().map(|(n, s)| member(id(n), s.executor.address, "in_service"));
         let mut config =
             configuration("127.0.0.1:0".parse().unwrap(), board.address, &listed.collect::<Vec<_>>());
@@ -393,7 +405,7 @@
             listener.is_some()
         }));
         self.board.tell(&[record(id(n + EXECUTORS), address, READY)]);
-        Server::on(listener.unwrap())
+        Server::on(listener.unwrap(), self.plan.denial)
     }
 
     fn questions_since(&self, since: Instant) -> usize {
@@ -447,8 +459,8 @@
 
 #[test]
 fn drains_are_kept_while_discovery_flaps_and_where_it_moves_to_nowhere() {
-    let plan = |kind| Plan::new(2, kind, Beside::Nothing);
-    play(&[plan(Kind::Flaps), plan(Kind::Moves)]);
+    let plan = |kind, denial| Plan { denial, ..Plan::new(2, kind, Beside::Nothing) };
+    play(&[plan(Kind::Flaps, Denial::Order), plan(Kind::Moves, Denial::Probe)]);
 }
 
 #[test]
--- a/crates/badgerwind-cli/tests/platform/questions.rs
+++ b/crates/badgerwind-cli/tests/platform/questions.rs
@@ -36,6 +36,10 @@
 }
 
 fn is_question(s: &Seen) -> bool {
+    s.word == "HELO" || is_order_question(s)
+}
+
+fn is_order_question(s: &Seen) -> bool {
     s.word == "SPAWN" && s.line["meta"]["slots_up"].as_u64() == Some(0)
 }
 
@@ -48,7 +52,7 @@
     executor
         .seen()
         .into_iter()
-        .filter(|s| matches!(s.word.as_str(), "FN" | "SPAWN") && !is_question(s))
+        .filter(|s| matches!(s.word.as_str(), "FN" | "SPAWN") && !is_order_question(s))
         .collect()
 }
 
@@ -63,17 +67,27 @@
     })
 }
 
+/// Executors answer an order for no copies well while they drain, and take orders to load; or they turn both away.
 #[test]
 fn one_that_drains_is_asked_and_sent_neither_calls_nor_orders_to_load() {
-    let rig = untold(vec![Box::new(|s| match s.word.as_str() {
+    let by_probe = |s: &Seen| match s.word.as_str() {
+        "HELO" => vec![Do::Write(say("SICK", s))],
+        "FN" => vec![Do::Write(say("SHED", s))],
+        _ => well(s),
+    };
+    let by_order = |s: &Seen| match s.word.as_str() {
         "FN" | "SPAWN" => vec![Do::Write(say("SHED", s))],
         _ => well(s),
-    })]);
-    // The first question goes over a new connection, where a refusal may be for want of room.
-    (0..4).for_each(|n| _ = rig.call(&Ask { wait_ms: 400, ..Ask::new(n) }));
-    assert!(rig.logs(&["takes no new work", "s-a0000000"]), "{:?}", rig.lines());
-    let work = work(&rig.executors[0]);
-    assert!(questions(&rig.executors[0]) >= 2 && work.is_empty(), "{work:?}");
+    };
+    let scripts: [Script; 2] = [Box::new(by_probe), Box::new(by_order)];
+    for script in scripts {
+        let rig = untold(vec![script]);
+        // The first question goes over a new connection, where a refusal may be for want of room.
+        (0..4).for_each(|n| _ = rig.call(&Ask { wait_ms: 400, ..Ask::new(n) }));
+        assert!(rig.logs(&["takes no new work", "s-a0000000"]), "{:?}", rig.lines());
+        let work = work(&rig.executors[0]);
+        assert!(questions(&rig.executors[0]) >= 2 && work.is_empty(), "{work:?}");
+    }
 }
 
 #[test]
@@ -82,13 +96,13 @@
     let rig = untold_and_patient(vec![answers_questions_once(&open)]);
     let mut web = rig.web();
     (1..=20).for_each(|n| web.ask(n, &Ask::new(n.into())).unwrap());
-    assert!(until(|| questions(&rig.executors[0]) == 1));
+    assert!(until(|| questions(&rig.executors[0]) == 2));
     // Another call has come and gone by the time at which all of them wait.
     assert_eq!(rig.health(), 200);
     open.store(true, Ordering::Relaxed);
     let served = (1..=20).filter(|_| web.answer().unwrap().status == 200).count();
     assert_eq!(served, 20);
-    assert_eq!(questions(&rig.executors[0]), 1);
+    assert_eq!(questions(&rig.executors[0]), 2);
 }
 
 #[test]
@@ -98,7 +112,7 @@
     let (mut leaves, mut stays) = (rig.web(), rig.web());
     let left = Ask::new(1);
     leaves.ask(1, &left).unwrap();
-    assert!(until(|| questions(&rig.executors[0]) == 1));
+    assert!(until(|| questions(&rig.executors[0]) == 2));
     leaves.abort(1).unwrap();
     assert_eq!(rig.health(), 200);
     open.store(true, Ordering::Relaxed);
@@ -150,7 +164,7 @@
     let mut rig = untold_and_patient(vec![answers_questions_once(&open)]);
     let mut web = rig.web();
     web.ask(1, &Ask::new(1)).unwrap();
-    assert!(until(|| questions(&rig.executors[0]) == 1));
+    assert!(until(|| questions(&rig.executors[0]) == 2));
     rig.signal("-TERM");
     assert!(rig.logs(&["stopping"]));
     web.ask(2, &Ask::new(2)).unwrap();
--- a/crates/badgerwind-freshness/src/confirmation.rs
+++ b/crates/badgerwind-freshness/src/confirmation.rs
@@ -1,17 +1,17 @@
 //! Which executors may be sent new work, and what their answers prove while discovery is out of reach.
 //!
-//! - An answer that served a call, or one to a question ("hold at least 0 copies", which only asks), shows that the executor
-//!   took work at some moment after the first byte of what it answers. A drain that begins later counts as told then at the
-//!   earliest, and sends may go on for the grace: so the answer is worth the grace from that first byte on, however late
-//!   it comes.
-//! - A question answered with "full" cannot be for want of room: the executor drains. A call turned away may be either, and
-//!   ends what was confirmed before.
+//! - A served call shows that the executor took work at some moment after the call's first byte, and so does "well" to a probe
+//!   together with "ok" to an order for no copies, which only asks. A drain that begins later counts as told then at the
+//!   earliest, and sends may go on for the grace: so the answer is worth the grace from that first byte on, however late it
+//!   comes. Either question alone may be answered well by one that drains, and so may an order to load.
+//! - "Unwell" to a probe, and "full" to an order for no copies, which cannot be for want of room: it takes no work. A call turned
+//!   away may be for a full queue as well, and ends what was confirmed before.
 //! - An address is no identity. Where a connection is refused, nothing is sent until discovery tells who is there. Where the
 //!   last connection ended and a new one comes up only later, or the machine was silent in between, the process may have
 //!   been started anew: it counts as cold.
 
 use crate::counters::Counters;
-use crate::record::{Record, Service};
+use crate::record::{Inquiry, Record, Service};
 use crate::source::{Ending, Heard, SourceWatch, Transition};
 use badgerwind::interface::{FunctionId, Span, Time, WorkerId};
 use std::collections::{BTreeSet, HashMap};
@@ -31,6 +31,9 @@
 const FIRST_WORD_WITHIN: Span = 1_500_000;
 /// Pause after a question that told nothing.
 const UNCLEAR_PAUSE: Span = 100_000;
+/// Pause before an executor that denied to take work is asked again; it doubles each time.
+const DENIAL_PAUSE: Span = 1_000_000;
+const LONGEST_DOUBLING: u32 = 10;
 /// Questions a second that one executor which drains is asked again by all front ends together.
 const REPEATS_PER_SECOND: u64 = 8;
 const SECOND: Span = 1_000_000;
@@ -42,8 +45,10 @@
     pub drain_grace: Span,
     /// A question not answered by then has no answer.
     pub answer_within: Span,
-    /// Whether questions may be asked.
-    pub may_ask: bool,
+    /// Whether probes may be sent.
+    pub may_probe: bool,
+    /// Whether orders may be given.
+    pub may_order: bool,
     /// Front ends in the tier.
     pub front_ends: u32,
     /// From 0 to 1, drawn for this front end: keeps front ends out of step.
@@ -66,21 +71,37 @@
 /// What an answer of an executor proves.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Evidence {
-    /// It took work at some moment after `since`. `copies`: how many copies stood, where it told.
-    TakesWork {
-        /// When the first byte of what it answers went out, or earlier.
+    /// It served a call: it took work at some moment after `since`.
+    Served {
+        /// When the first byte of the call went out, or earlier.
         since: Time,
-        /// Copies of the function asked about.
-        copies: Option<u32>,
     },
     /// It turned work away.
     TurnsAway,
-    /// It drains.
-    Drains,
+    /// It answered a question well.
+    Confirms {
+        /// When the first byte of the question went out, or earlier.
+        since: Time,
+        /// Copies of the function asked about, where it told.
+        copies: Option<u32>,
+    },
+    /// It answered a probe: not well.
+    Denies,
+    /// It turned a question away.
+    RefusesQuestion,
     /// It answered a question with what tells nothing.
     Unclear,
 }
 
+/// The questions that are to be asked together.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Questions {
+    /// A probe.
+    pub probe: bool,
+    /// An order for no copies.
+    pub order: bool,
+}
+
 /// What follows for others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
@@ -254,7 +275,8 @@
     }
 
     fn question(&self, now: Time) -> Permit {
-        if self.terms.may_ask {
+        let Questions { probe, order } = self.questions();
+        if probe || order {
             Permit::Ask
         } else if now < self.started + FIRST_WORD_WITHIN {
             Permit::Wait
@@ -263,6 +285,11 @@
         }
     }
 
+    /// What an executor is to be asked.
+    pub fn questions(&self) -> Questions {
+        Questions { probe: self.terms.may_probe, order: self.terms.may_order }
+    }
+
     /// How long an answer is worth something, from the first byte of what it answers on.
     fn validity(&self) -> Span {
         self.terms.drain_grace.saturating_sub(MARGIN).max(LEAST_VALIDITY)
@@ -275,19 +302,22 @@
         }
     }
 
-    /// A question is put in line, about a function that clients have called.
+    /// The questions are put in line, about a function that clients have called.
     pub fn asked(&mut self, now: Time, worker: WorkerId, function: FunctionId) {
+        let Questions { probe, order } = self.questions();
+        let pending = u32::from(probe) + u32::from(order);
         let record = self.records.entry(worker).or_default();
-        (record.asked, record.function) = (Some(now), Some(function));
+        record.inquiry = Some(Inquiry { asked: now, pending, since: None, copies: None });
+        record.function = Some(function);
         self.asking.insert(worker);
-        self.counters.questions += 1;
+        self.counters.questions += u64::from(pending);
     }
 
     /// A question came to its end without an answer.
     pub fn unanswered(&mut self, worker: WorkerId) {
         self.asking.remove(&worker);
-        let asked = self.records.get_mut(&worker).and_then(|record| record.asked.take());
-        if asked.is_some() {
+        let inquiry = self.records.get_mut(&worker).and_then(|record| record.inquiry.take());
+        if inquiry.is_some() {
             self.counters.unanswered += 1;
         }
     }
@@ -296,8 +326,8 @@
     pub fn overdue(&mut self, now: Time) -> Vec<WorkerId> {
         let within = self.terms.answer_within;
         let overdue = |worker: &WorkerId| {
-            let asked = self.records.get(worker).and_then(|record| record.asked);
-            asked.is_some_and(|at| now >= at + within)
+            let inquiry = self.records.get(worker).and_then(|record| record.inquiry);
+            inquiry.is_some_and(|inquiry| now >= inquiry.asked + within)
         };
         let all: Vec<WorkerId> = self.asking.iter().copied().filter(overdue).collect();
         for worker in &all {
@@ -312,7 +342,7 @@
         let due = |worker: &WorkerId| {
             let record = self.records.get(worker)?;
             let due =
-                record.service == Service::Draining && record.asked.is_none() && now >= record.paused_until;
+                record.service == Service::Draining && record.inquiry.is_none() && now >= record.paused_until;
             record.function.clone().filter(|_| due).map(|function| (*worker, function))
         };
         self.deviating.iter().filter_map(due).collect()
@@ -323,13 +353,15 @@
     pub fn evidence(&mut self, now: Time, worker: WorkerId, evidence: Evidence, proven: bool) -> Vec<Change> {
         let fresh = self.source.fresh(now);
         match evidence {
-            Evidence::TakesWork { since, copies } => self.takes_work(fresh, worker, since, copies),
+            Evidence::Served { since } => self.served(fresh, worker, since),
             Evidence::TurnsAway => {
                 self.turns_away(now, fresh, worker, proven);
                 Vec::new()
             }
-            Evidence::Drains if proven => self.drains(now, fresh, worker),
-            Evidence::Drains | Evidence::Unclear => {
+            Evidence::Confirms { since, copies } => self.confirms(fresh, worker, since, copies),
+            Evidence::Denies => self.denies(now, fresh, worker),
+            Evidence::RefusesQuestion if proven => self.denies(now, fresh, worker),
+            Evidence::RefusesQuestion | Evidence::Unclear => {
                 self.unanswered(worker);
                 self.records.entry(worker).or_default().paused_until = now + UNCLEAR_PAUSE;
                 Vec::new()
@@ -337,14 +369,37 @@
         }
     }
 
-    fn takes_work(&mut self, fresh: bool, worker: WorkerId, since: Time, copies: Option<u32>) -> Vec<Change> {
+    /// A call that it served. One that denied to take work since may have taken it before.
+    fn served(&mut self, fresh: bool, worker: WorkerId, since: Time) -> Vec<Change> {
         let record = self.records.entry(worker).or_default();
-        if copies.is_some() {
-            record.asked = None;
-            self.asking.remove(&worker);
-        } else {
-            record.turned_away = 0;
+        record.turned_away = 0;
+        if record.service == Service::Draining {
+            return Vec::new();
         }
+        self.takes_work(fresh, worker, since, None)
+    }
+
+    /// Counts a good answer to a question. The executor takes work once all of them are in.
+    fn confirms(&mut self, fresh: bool, worker: WorkerId, since: Time, copies: Option<u32>) -> Vec<Change> {
+        let Some(record) = self.records.get_mut(&worker) else { return Vec::new() };
+        let Some(inquiry) = record.inquiry.as_mut().filter(|inquiry| since >= inquiry.asked) else {
+            return Vec::new(); // it answers what was given up
+        };
+        inquiry.pending = inquiry.pending.saturating_sub(1);
+        inquiry.since = Some(inquiry.since.map_or(since, |earlier| earlier.min(since)));
+        inquiry.copies = inquiry.copies.or(copies);
+        let (pending, since, copies) = (inquiry.pending, inquiry.since.unwrap_or(since), inquiry.copies);
+        if pending > 0 {
+            return Vec::new();
+        }
+        record.inquiry = None;
+        record.denials = 0;
+        self.asking.remove(&worker);
+        self.takes_work(fresh, worker, since, copies)
+    }
+
+    fn takes_work(&mut self, fresh: bool, worker: WorkerId, since: Time, copies: Option<u32>) -> Vec<Change> {
+        let record = self.records.entry(worker).or_default();
         if record.service == Service::Unidentified && !fresh {
             return Vec::new(); // a process that discovery has not named
         }
@@ -387,17 +442,20 @@
         record.turned_away += 1;
     }
 
-    fn drains(&mut self, now: Time, fresh: bool, worker: WorkerId) -> Vec<Change> {
-        let apart = REPEATS_PER_SECOND.max(u64::from(self.terms.front_ends)) * SECOND / REPEATS_PER_SECOND;
+    fn denies(&mut self, now: Time, fresh: bool, worker: WorkerId) -> Vec<Change> {
+        let shared_pace = u64::from(self.terms.front_ends) * SECOND / REPEATS_PER_SECOND;
         let record = self.records.entry(worker).or_default();
+        self.asking.remove(&worker);
+        record.inquiry = None;
         if fresh && !record.suspect && record.service != Service::Draining {
             return Vec::new(); // an order that renews copies; discovery tells of the drain
         }
         record.service = Service::Draining;
-        (record.asked, record.confirmed, record.met) = (None, None, true);
-        record.paused_until = now + apart + (apart as f64 * self.terms.chance) as Span;
+        (record.confirmed, record.met) = (None, true);
+        let pause = (DENIAL_PAUSE << record.denials.min(LONGEST_DOUBLING)).min(shared_pace.max(DENIAL_PAUSE));
+        record.paused_until = now + pause + (pause as f64 * self.terms.chance) as Span;
+        record.denials += 1;
         let withdrawn = std::mem::replace(&mut record.withdrawn, true);
-        self.asking.remove(&worker);
         self.deviating.insert(worker);
         if withdrawn {
             return Vec::new();
@@ -412,7 +470,7 @@
     pub fn disconnected(&mut self, now: Time, worker: WorkerId) {
         self.asking.remove(&worker);
         let Some(record) = self.records.get_mut(&worker) else { return };
-        (record.asked, record.confirmed) = (None, None);
+        (record.inquiry, record.confirmed) = (None, None);
         record.lost = record.lost.or(Some(now));
         if record.service == Service::Draining {
             // It has come to its end.
@@ -443,7 +501,7 @@
         self.deviating.insert(worker);
         let record = self.records.entry(worker).or_default();
         record.service = Service::Unidentified;
-        (record.asked, record.confirmed) = (None, None);
+        (record.inquiry, record.confirmed) = (None, None);
         record.lost = record.lost.or(Some(now));
         if fresh || std::mem::replace(&mut record.withdrawn, true) {
             return Vec::new();
--- a/crates/badgerwind-freshness/src/record.rs
+++ b/crates/badgerwind-freshness/src/record.rs
@@ -14,18 +14,33 @@
     Unidentified,
 }
 
+/// Questions under way. An executor confirms by all of their answers.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Inquiry {
+    /// When it was put in line.
+    pub asked: Time,
+    /// Answers that have not come.
+    pub pending: u32,
+    /// The first byte of the first question went out then at the earliest, as far as answers came.
+    pub since: Option<Time>,
+    /// Copies of the function asked about, where an answer told.
+    pub copies: Option<u32>,
+}
+
 /// What one executor itself has shown.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Record {
     pub service: Service,
     /// The latest moment at which it is known to have taken work.
     pub confirmed: Option<Time>,
-    /// When the question under way went out.
-    pub asked: Option<Time>,
+    /// The questions under way.
+    pub inquiry: Option<Inquiry>,
     /// The function that it was last asked about; one that clients have called.
     pub function: Option<FunctionId>,
     /// No question, and no work, before this.
     pub paused_until: Time,
+    /// Times in a row that it denied to take work.
+    pub denials: u32,
     /// Calls turned away since it last served one.
     pub turned_away: u32,
     /// Discovery's word alone does not do: its own was another.
@@ -50,9 +65,9 @@
         self.confirmed.is_some_and(|at| now < at + validity)
     }
 
-    /// Whether a question is under way.
+    /// Whether an answer is awaited.
     pub fn awaits(&self, now: Time, answer_within: Span) -> bool {
-        self.asked.is_some_and(|at| now < at + answer_within)
+        self.inquiry.is_some_and(|inquiry| now < inquiry.asked + answer_within)
     }
 
     /// Whether the module has been told other than discovery told.
@@ -71,7 +86,7 @@
         Record {
             suspect,
             met: self.met && connected,
-            asked: self.asked,
+            inquiry: self.inquiry,
             function: self.function.take(),
             confirmed: self.confirmed,
             ..Record::default()
--- a/crates/badgerwind-freshness/tests/confirmation.rs
+++ b/crates/badgerwind-freshness/tests/confirmation.rs
@@ -12,7 +12,14 @@
 const STALE: u64 = 5 * SECOND;
 
 fn terms() -> Terms {
-    Terms { drain_grace: GRACE, answer_within: ANSWER_WITHIN, may_ask: true, front_ends: 8, chance: 0.0 }
+    Terms {
+        drain_grace: GRACE,
+        answer_within: ANSWER_WITHIN,
+        may_probe: true,
+        may_order: true,
+        front_ends: 8,
+        chance: 0.0,
+    }
 }
 
 /// Discovery was heard at second 1 and is silent since; the list is stale, which was reported. The executor is known.
@@ -20,15 +27,17 @@
     let mut freshness = Freshness::new(0, terms());
     freshness.heard(SECOND, Heard::UpToDate);
     freshness.transition(SECOND);
-    freshness.evidence(SECOND, WORKER, Evidence::TakesWork { since: SECOND, copies: None }, true);
+    freshness.evidence(SECOND, WORKER, Evidence::Served { since: SECOND }, true);
     let (transition, changes) = freshness.transition(STALE);
     assert_eq!((transition, changes), (Some(Transition::Stale { age: Some(4 * SECOND) }), vec![]));
     freshness
 }
 
-/// An answer to a question that went out then.
-fn takes_work(since: u64) -> Evidence {
-    Evidence::TakesWork { since, copies: Some(1) }
+/// Both answers to the questions that went out at `since`, where that many copies stand.
+fn confirm(freshness: &mut Freshness, now: u64, worker: u32, (since, copies): (u64, u32)) -> Vec<Change> {
+    let order = Evidence::Confirms { since, copies: Some(copies) };
+    assert_eq!(freshness.evidence(now, worker, order, true), [], "one answer alone");
+    freshness.evidence(now, worker, Evidence::Confirms { since, copies: None }, true)
 }
 
 fn ask(freshness: &mut Freshness, now: u64) {
@@ -43,7 +52,7 @@
     freshness.heard(SECOND, Heard::UpToDate);
     assert_eq!(freshness.permit(SECOND, WORKER), Permit::Granted);
     freshness.evidence(SECOND, WORKER, Evidence::TurnsAway, true);
-    freshness.evidence(SECOND, WORKER, Evidence::Drains, true);
+    freshness.evidence(SECOND, WORKER, Evidence::Denies, true);
     assert_eq!(freshness.permit(STALE - 1, WORKER), Permit::Granted);
     assert_eq!(freshness.counters().questions, 0);
 }
@@ -53,20 +62,20 @@
     let mut freshness = stale();
     ask(&mut freshness, STALE);
     // It came late: what it proves is as old as the question.
-    freshness.evidence(STALE + 200_000, WORKER, takes_work(STALE), true);
+    confirm(&mut freshness, STALE + 200_000, WORKER, (STALE, 1));
     assert_eq!(freshness.permit(STALE + 200_000, WORKER), Permit::Granted);
     assert_eq!(freshness.permit(STALE + GRACE - 20_000, WORKER), Permit::Granted);
     assert_eq!(freshness.permit(STALE + GRACE, WORKER), Permit::Ask);
     // One that came after its worth was over is worth nothing.
     ask(&mut freshness, STALE + SECOND);
-    freshness.evidence(STALE + SECOND + GRACE, WORKER, takes_work(STALE + SECOND), true);
+    confirm(&mut freshness, STALE + SECOND + GRACE, WORKER, (STALE + SECOND, 1));
     assert_eq!(freshness.permit(STALE + SECOND + GRACE, WORKER), Permit::Ask);
 }
 
 #[test]
 fn a_served_call_confirms_and_a_refused_one_ends_that() {
     let mut freshness = stale();
-    let served = Evidence::TakesWork { since: STALE + 1, copies: None };
+    let served = Evidence::Served { since: STALE + 1 };
     freshness.evidence(STALE + 2, WORKER, served, true);
     assert_eq!(freshness.permit(STALE + 3, WORKER), Permit::Granted);
     freshness.evidence(STALE + 4, WORKER, Evidence::TurnsAway, true);
@@ -89,35 +98,65 @@
 }
 
 #[test]
-fn one_that_says_that_it_drains_is_out_of_service_until_it_says_otherwise() {
-    let mut freshness = stale();
-    ask(&mut freshness, STALE);
-    let changes = freshness.evidence(STALE, WORKER, Evidence::Drains, true);
-    assert_eq!(changes, [Change::OutOfService(WORKER)]);
-    assert_eq!(freshness.permit(STALE + 1, WORKER), Permit::Denied);
-    assert!(freshness.repeats(STALE + SECOND - 1).is_empty());
-    assert_eq!(freshness.repeats(STALE + SECOND), [(WORKER, "f".into())]);
-    freshness.asked(STALE + SECOND, WORKER, "f".into());
-    let changes = freshness.evidence(STALE + SECOND, WORKER, takes_work(STALE + SECOND), true);
-    assert_eq!(changes, [Change::AsListed(WORKER)]);
-    assert_eq!(freshness.permit(STALE + SECOND, WORKER), Permit::Granted);
+fn one_good_answer_alone_confirms_nothing() {
+    for alone in [
+        Evidence::Confirms { since: STALE, copies: Some(1) },
+        Evidence::Confirms { since: STALE, copies: None },
+    ] {
+        let mut freshness = stale();
+        ask(&mut freshness, STALE);
+        freshness.evidence(STALE, WORKER, alone, true);
+        assert_eq!(freshness.permit(STALE + 1, WORKER), Permit::Wait);
+        freshness.overdue(STALE + ANSWER_WITHIN);
+        // Its fellow comes after they were given up, and while they are asked anew.
+        ask(&mut freshness, STALE + ANSWER_WITHIN);
+        freshness.evidence(STALE + ANSWER_WITHIN, WORKER, alone, true);
+        assert_eq!(freshness.permit(STALE + ANSWER_WITHIN, WORKER), Permit::Wait);
+    }
+}
+
+#[test]
+fn one_that_denies_to_take_work_is_out_of_service_until_it_confirms_again() {
+    for denial in [Evidence::Denies, Evidence::RefusesQuestion] {
+        let mut freshness = stale();
+        ask(&mut freshness, STALE);
+        // The other question was answered well.
+        freshness.evidence(STALE, WORKER, Evidence::Confirms { since: STALE, copies: Some(1) }, true);
+        assert_eq!(freshness.evidence(STALE, WORKER, denial, true), [Change::OutOfService(WORKER)]);
+        assert_eq!(freshness.permit(STALE + 1, WORKER), Permit::Denied);
+        // A call that it had taken before is served, and says nothing of now.
+        let served = Evidence::Served { since: STALE - 1 };
+        assert_eq!(freshness.evidence(STALE + 2, WORKER, served, true), []);
+        assert_eq!(freshness.permit(STALE + 3, WORKER), Permit::Denied);
+        assert!(freshness.repeats(STALE + SECOND - 1).is_empty());
+        assert_eq!(freshness.repeats(STALE + SECOND), [(WORKER, "f".into())]);
+        freshness.asked(STALE + SECOND, WORKER, "f".into());
+        let changes = confirm(&mut freshness, STALE + SECOND, WORKER, (STALE + SECOND, 1));
+        assert_eq!(changes, [Change::AsListed(WORKER)]);
+        assert_eq!(freshness.permit(STALE + SECOND, WORKER), Permit::Granted);
+    }
 }
 
 /// A thousand front ends do not fell the one that they ask about.
 #[test]
-fn a_draining_executor_is_asked_again_at_a_pace_that_all_front_ends_share() {
-    let mut freshness = Freshness::new(0, Terms { front_ends: 800, chance: 0.5, ..terms() });
-    freshness.asked(1, WORKER, "f".into());
-    freshness.evidence(2, WORKER, Evidence::Drains, true);
-    assert!(freshness.repeats(149 * SECOND).is_empty());
-    assert_eq!(freshness.repeats(151 * SECOND).len(), 1);
+fn one_that_goes_on_denying_is_asked_ever_less_often_at_a_pace_that_all_front_ends_share() {
+    let mut freshness = Freshness::new(0, Terms { front_ends: 80, chance: 0.0, ..terms() });
+    let (mut now, mut pauses) = (1, Vec::new());
+    for _ in 0..6 {
+        freshness.asked(now, WORKER, "f".into());
+        freshness.evidence(now, WORKER, Evidence::Denies, true);
+        let next = (now..).step_by(SECOND as usize).find(|at| !freshness.repeats(*at).is_empty()).unwrap();
+        pauses.push((next - now) / SECOND);
+        now = next;
+    }
+    assert_eq!(pauses, [1, 2, 4, 8, 10, 10]);
 }
 
 #[test]
 fn a_refused_question_over_a_new_connection_may_be_for_want_of_room_there() {
     let mut freshness = stale();
     ask(&mut freshness, STALE);
-    assert!(freshness.evidence(STALE, WORKER, Evidence::Drains, false).is_empty());
+    assert!(freshness.evidence(STALE, WORKER, Evidence::RefusesQuestion, false).is_empty());
     assert_eq!(freshness.permit(STALE + 1, WORKER), Permit::Denied);
     assert_eq!(freshness.permit(STALE + 100_000, WORKER), Permit::Ask);
 }
@@ -138,7 +177,8 @@
     freshness.disconnected(STALE, WORKER);
     assert_eq!(freshness.refused(STALE + 1, WORKER), [Change::OutOfService(WORKER)]);
     freshness.connected(STALE + SECOND, WORKER);
-    assert!(freshness.evidence(STALE + SECOND, WORKER, takes_work(STALE + SECOND), true).is_empty());
+    let served = Evidence::Served { since: STALE + SECOND };
+    assert!(freshness.evidence(STALE + SECOND, WORKER, served, true).is_empty());
     assert_eq!(freshness.permit(STALE + SECOND, WORKER), Permit::Denied);
     freshness.heard(STALE + 2 * SECOND, Heard::UpToDate);
     let (_, changes) = freshness.transition(STALE + 2 * SECOND);
@@ -176,7 +216,7 @@
     freshness.disconnected(STALE, WORKER);
     freshness.connected(STALE + 200_000, WORKER);
     ask(&mut freshness, STALE + 200_000);
-    assert!(freshness.evidence(STALE + 200_000, WORKER, takes_work(STALE + 200_000), true).is_empty());
+    assert!(confirm(&mut freshness, STALE + 200_000, WORKER, (STALE + 200_000, 1)).is_empty());
     assert_eq!(freshness.permit(STALE + 200_000, WORKER), Permit::Granted);
 }
 
@@ -192,7 +232,7 @@
         freshness.disconnected(lost, WORKER);
         freshness.connected(lost + gap, WORKER);
         ask(&mut freshness, lost + gap);
-        let changes = freshness.evidence(lost + gap, WORKER, takes_work(lost + gap), true);
+        let changes = confirm(&mut freshness, lost + gap, WORKER, (lost + gap, 1));
         assert_eq!(changes, [Change::Restarted(WORKER)], "silent {silent}");
         // Discovery's return undoes the presumption.
         freshness.heard(lost + 2 * SECOND, Heard::UpToDate);
@@ -203,10 +243,13 @@
 #[test]
 fn the_first_word_of_an_executor_that_holds_no_copy_may_be_a_newcomers() {
     let mut freshness = Freshness::new(0, terms());
-    let empty = Evidence::TakesWork { since: 1, copies: Some(0) };
-    assert_eq!(freshness.evidence(2, WORKER, empty, true), [Change::Restarted(WORKER)]);
-    assert_eq!(freshness.evidence(3, WORKER, empty, true), [], "once");
-    assert_eq!(freshness.evidence(3, 8, takes_work(2), true), [], "it was there before");
+    let mut first_word = |now, worker, copies| {
+        freshness.asked(now, worker, "f".into());
+        confirm(&mut freshness, now, worker, (now, copies))
+    };
+    assert_eq!(first_word(1, WORKER, 0), [Change::Restarted(WORKER)]);
+    assert_eq!(first_word(2, WORKER, 0), [], "once");
+    assert_eq!(first_word(3, 8, 1), [], "it was there before");
 }
 
 /// Discovery is back and knows nothing of the drain that the executor told: its own word goes before, and it is asked.
@@ -214,12 +257,12 @@
 fn discoverys_return_does_not_outdo_what_an_executor_said_itself() {
     let mut freshness = stale();
     freshness.asked(STALE, WORKER, "f".into());
-    freshness.evidence(STALE, WORKER, Evidence::Drains, true);
+    freshness.evidence(STALE, WORKER, Evidence::Denies, true);
     let back = STALE + SECOND;
     freshness.heard(back, Heard::UpToDate);
     assert_eq!(freshness.transition(back).1, [Change::AsListed(WORKER)]);
     ask(&mut freshness, back);
-    assert_eq!(freshness.evidence(back, WORKER, Evidence::Drains, true), [Change::OutOfService(WORKER)]);
+    assert_eq!(freshness.evidence(back, WORKER, Evidence::Denies, true), [Change::OutOfService(WORKER)]);
     // An event that names it ends the matter.
     freshness.listed(WORKER, false);
     assert_eq!(freshness.permit(back, WORKER), Permit::Granted);
@@ -227,21 +270,30 @@
 
 #[test]
 fn where_no_questions_may_be_asked_only_served_calls_confirm() {
-    let mut freshness = Freshness::new(0, Terms { may_ask: false, ..terms() });
+    let mut freshness = Freshness::new(0, Terms { may_probe: false, may_order: false, ..terms() });
     assert_eq!(freshness.permit(SECOND, WORKER), Permit::Wait, "discovery's first word may come yet");
     assert_eq!(freshness.permit(2 * SECOND, WORKER), Permit::Denied);
-    let served = Evidence::TakesWork { since: 2 * SECOND, copies: None };
-    freshness.evidence(2 * SECOND, WORKER, served, true);
+    freshness.evidence(2 * SECOND, WORKER, Evidence::Served { since: 2 * SECOND }, true);
     assert_eq!(freshness.permit(2 * SECOND, WORKER), Permit::Granted);
 }
 
+#[test]
+fn where_one_kind_of_question_may_be_asked_its_answer_confirms() {
+    for (may_probe, copies) in [(true, None), (false, Some(1))] {
+        let mut freshness = Freshness::new(0, Terms { may_probe, may_order: !may_probe, ..terms() });
+        ask(&mut freshness, SECOND);
+        freshness.evidence(SECOND, WORKER, Evidence::Confirms { since: SECOND, copies }, true);
+        assert_eq!(freshness.permit(SECOND, WORKER), Permit::Granted);
+    }
+}
+
 #[test]
 fn the_end_of_an_outage_tells_what_it_cost() {
     let mut freshness = stale();
     ask(&mut freshness, STALE);
-    freshness.evidence(STALE, WORKER, takes_work(STALE), true);
+    confirm(&mut freshness, STALE, WORKER, (STALE, 1));
     freshness.sent(STALE);
-    assert_eq!((freshness.cost().questions, freshness.cost().sent_while_stale), (1, 1));
+    assert_eq!((freshness.cost().questions, freshness.cost().sent_while_stale), (2, 1));
     freshness.heard(STALE + SECOND, Heard::UpToDate);
     freshness.transition(STALE + SECOND);
     freshness.ended(STALE + SECOND, Ending::Broken);
@@ -302,14 +354,21 @@
                 Step::Answer { after, refuses_for_room } => {
                     // It took what it answers at some moment after that was sent, and answers later.
                     if let Some(sent) = question.take() {
-                        let evidence = if sent + after < drains { takes_work(sent) } else { Evidence::Drains };
                         now = now.max(sent + after);
-                        freshness.evidence(now, WORKER, evidence, !refuses_for_room);
+                        // The order is answered well by one that drains, too.
+                        let order = Evidence::Confirms { since: sent, copies: Some(1) };
+                        freshness.evidence(now, WORKER, order, true);
+                        let probe = if sent + after < drains {
+                            Evidence::Confirms { since: sent, copies: None }
+                        } else {
+                            Evidence::Denies
+                        };
+                        freshness.evidence(now, WORKER, probe, !refuses_for_room);
                     }
                     if let Some(sent) = call.take() {
                         let served = sent + after < drains && !refuses_for_room;
                         let evidence = if served {
-                            Evidence::TakesWork { since: sent, copies: None }
+                            Evidence::Served { since: sent }
                         } else {
                             Evidence::TurnsAway
                         };
--- a/crates/badgerwind-gateway/src/platform/connection.rs
+++ b/crates/badgerwind-gateway/src/platform/connection.rs
@@ -243,9 +243,8 @@
             Task::Order { order, key, copies } => {
                 line::load(out, &order_tag(*order), key, *copies);
             }
-            Task::Question { number, key } => {
-                line::load(out, &question_tag(*number), key, 0);
-            }
+            Task::ProbeQuestion { number } => line::probe(out, &question_tag(*number)),
+            Task::OrderQuestion { number, key } => line::load(out, &question_tag(*number), key, 0),
             Task::Probe(number) => line::probe(out, &probe_tag(*number)),
             Task::Unload(key) => line::unload(out, key),
         }
@@ -265,7 +264,9 @@
             }
             Task::Order { order, .. } => self.tell(Input::OrderEnded { order, outcome, copies: 0 }),
             Task::Probe(_) => self.tell(Input::ProbeEnded { worker, outcome, report: None }),
-            Task::Question { .. } => self.freshness.borrow_mut().unanswered(worker),
+            Task::ProbeQuestion { .. } | Task::OrderQuestion { .. } => {
+                self.freshness.borrow_mut().unanswered(worker)
+            }
             Task::Unload(_) => {}
         }
     }
--- a/crates/badgerwind-gateway/src/platform/freshness.rs
+++ b/crates/badgerwind-gateway/src/platform/freshness.rs
@@ -98,11 +98,19 @@
     }
 
     fn ask(&self, connection: &Connection, now: Time, function: FunctionId) {
-        let number = self.executors.next_number();
-        let task = Task::Question { number, key: function.to_string() };
-        connection.link.borrow_mut().push(now, task);
-        self.freshness.borrow_mut().asked(now, connection.worker, function);
-        tracing::debug!(worker = %name(connection.worker), number, "an executor is asked whether it takes work");
+        let mut freshness = self.freshness.borrow_mut();
+        let questions = freshness.questions();
+        let mut link = connection.link.borrow_mut();
+        if questions.order {
+            let number = self.executors.next_number();
+            link.push(now, Task::OrderQuestion { number, key: function.to_string() });
+        }
+        if questions.probe {
+            let number = self.executors.next_number();
+            link.push(now, Task::ProbeQuestion { number });
+        }
+        freshness.asked(now, connection.worker, function);
+        tracing::debug!(worker = %name(connection.worker), "an executor is asked whether it takes work");
     }
 
     /// Takes in what the answers over a connection prove. `proven`: something was taken in over it before them.
@@ -117,7 +125,7 @@
             if evidence == Evidence::TurnsAway {
                 self.complain_of_refusal(now, worker);
             }
-            if evidence == Evidence::Unclear || evidence == Evidence::Drains && !proven {
+            if evidence == Evidence::Unclear || evidence == Evidence::RefusesQuestion && !proven {
                 self.give_up_waiting(worker, Outcome::Full);
             }
             self.apply(changes);
--- a/crates/badgerwind-gateway/src/platform/shell.rs
+++ b/crates/badgerwind-gateway/src/platform/shell.rs
@@ -116,7 +116,8 @@
     Terms {
         drain_grace: config.router.drain_grace,
         answer_within: config.transport.connect_timeout,
-        may_ask: config.router.may_order,
+        may_probe: config.router.may_probe,
+        may_order: config.router.may_order,
         front_ends: config.router.front_ends,
         chance: fastrand::Rng::with_seed(config.seed).f64(),
     }
--- a/crates/badgerwind-platform/src/link.rs
+++ b/crates/badgerwind-platform/src/link.rs
@@ -38,8 +38,13 @@
     },
     /// A probe and its number.
     Probe(u64),
-    /// An order for no copies, which only asks: whether the executor takes work.
-    Question {
+    /// A probe that asks whether the executor takes work.
+    ProbeQuestion {
+        /// Its number.
+        number: u64,
+    },
+    /// The same by an order for no copies, which only asks.
+    OrderQuestion {
         /// Its number.
         number: u64,
         /// The function, one that clients have called.
@@ -74,8 +79,10 @@
     Order(OrderId),
     /// A probe.
     Probe,
-    /// A question.
-    Question,
+    /// A probe that asks whether it takes work.
+    ProbeQuestion,
+    /// An order that asks so.
+    OrderQuestion,
 }
 
 /// What becomes of a task in line.
@@ -298,7 +305,8 @@
                 Task::Attempt { id, attempt, .. } => (id.clone(), Owed::Attempt(id, attempt)),
                 Task::Order { order, .. } => (order_tag(order).into(), Owed::Order(order)),
                 Task::Probe(number) => (probe_tag(number).into(), Owed::Probe),
-                Task::Question { number, .. } => (question_tag(number).into(), Owed::Question),
+                Task::ProbeQuestion { number } => (question_tag(number).into(), Owed::ProbeQuestion),
+                Task::OrderQuestion { number, .. } => (question_tag(number).into(), Owed::OrderQuestion),
                 Task::Unload(_) => continue,
             };
             self.open.push(Open { name, owed, began });
@@ -402,7 +410,7 @@
             }
             Owed::Order(order) => End::Order(*order, said.word.order().ok_or(Spoilt::Line)?, said.copies),
             Owed::Probe => End::Probe(said.word.probe().ok_or(Spoilt::Line)?),
-            Owed::Question => End::Question(said.word.order().ok_or(Spoilt::Line)?),
+            Owed::ProbeQuestion | Owed::OrderQuestion => End::Question(answered(said.word)),
         };
         let open = &self.open[n];
         self.evidence.extend(proves(&open.owed, open.began, said.word, said.copies));
@@ -440,7 +448,7 @@
                 Owed::Attempt(id, attempt) => End::Attempt(id, attempt, AttemptEnd::plain(outcome)),
                 Owed::Order(order) => End::Order(order, Outcome::Reset, 0),
                 Owed::Probe => End::Probe(Outcome::Reset),
-                Owed::Question => End::Question(Outcome::Reset),
+                Owed::ProbeQuestion | Owed::OrderQuestion => End::Question(Outcome::Reset),
             });
         }
         for line in self.begun.drain(..) {
@@ -467,16 +475,26 @@
     }
 }
 
-/// What an answer proves of the executor; `began`: the first byte of what it answers went out then at the earliest.
+/// How a question ended.
+fn answered(word: Word) -> Outcome {
+    match word {
+        Word::Hit | Word::Pong => Outcome::Ok,
+        Word::Shed => Outcome::Full,
+        _ => Outcome::Error,
+    }
+}
+
+/// What an answer proves of the executor; `began`: the first byte of what it answers went out then at the earliest. An
+/// order to load proves nothing: executors that drain may take it.
 fn proves(owed: &Owed, began: Time, word: Word, copies: u32) -> Option<Evidence> {
     match (owed, word) {
-        (Owed::Attempt(..) | Owed::Order(_), Word::Hit) => {
-            Some(Evidence::TakesWork { since: began, copies: None })
-        }
-        (Owed::Attempt(..) | Owed::Order(_), Word::Shed) => Some(Evidence::TurnsAway),
-        (Owed::Question, Word::Hit) => Some(Evidence::TakesWork { since: began, copies: Some(copies) }),
-        (Owed::Question, Word::Shed) => Some(Evidence::Drains),
-        (Owed::Question, _) => Some(Evidence::Unclear),
+        (Owed::Attempt(..), Word::Hit) => Some(Evidence::Served { since: began }),
+        (Owed::Attempt(..), Word::Shed) => Some(Evidence::TurnsAway),
+        (Owed::ProbeQuestion, Word::Pong) => Some(Evidence::Confirms { since: began, copies: None }),
+        (Owed::ProbeQuestion, Word::Sick) => Some(Evidence::Denies),
+        (Owed::OrderQuestion, Word::Hit) => Some(Evidence::Confirms { since: began, copies: Some(copies) }),
+        (Owed::ProbeQuestion | Owed::OrderQuestion, Word::Shed) => Some(Evidence::RefusesQuestion),
+        (Owed::ProbeQuestion | Owed::OrderQuestion, _) => Some(Evidence::Unclear),
         _ => None,
     }
 }
--- a/crates/badgerwind-platform/tests/links.rs
+++ b/crates/badgerwind-platform/tests/links.rs
@@ -21,7 +21,8 @@
         }
         Task::Order { copies, .. } => line::load(out, "load-3", "f", *copies),
         Task::Probe(_) => line::probe(out, "probe-1"),
-        Task::Question { number, key } => line::load(out, &format!("ask-{number}"), key, 0),
+        Task::ProbeQuestion { number } => line::probe(out, &format!("ask-{number}")),
+        Task::OrderQuestion { number, key } => line::load(out, &format!("ask-{number}"), key, 0),
         Task::Unload(key) => line::unload(out, key),
     }
     Start::Begun
@@ -232,7 +233,7 @@
 fn what_is_held_stays_in_line_until_it_may_begin_or_must_not() {
     let (mut l, mut ends) = (L::new(0), Vec::new());
     l.push(0, attempt("a"));
-    l.push(0, Task::Question { number: 1, key: "f".into() });
+    l.push(0, Task::OrderQuestion { number: 1, key: "f".into() });
     let hold_work = |task: &Task<()>, out: &mut Vec<u8>| match task {
         Task::Attempt { .. } => Start::Held,
         _ => write(task, out),
@@ -255,20 +256,24 @@
         feed(&mut l, &line);
         l.evidence()
     };
-    let question = || Task::Question { number: 1, key: "f".into() };
+    let probe = || Task::ProbeQuestion { number: 1 };
+    let asks = || Task::OrderQuestion { number: 1, key: "f".into() };
     let order = || Task::Order { order: OrderId(3), key: "f".into(), copies: 2 };
-    let takes = |copies| vec![Evidence::TakesWork { since: 5, copies }];
-    assert_eq!(answer(attempt("a"), "HIT", "a"), takes(None));
-    assert_eq!(answer(order(), "HIT", "load-3"), takes(None));
-    assert_eq!(answer(question(), "HIT", "ask-1"), takes(Some(2)));
+    let confirms = |copies| vec![Evidence::Confirms { since: 5, copies }];
+    assert_eq!(answer(attempt("a"), "HIT", "a"), [Evidence::Served { since: 5 }]);
     assert_eq!(answer(attempt("a"), "SHED", "a"), [Evidence::TurnsAway]);
-    assert_eq!(answer(order(), "SHED", "load-3"), [Evidence::TurnsAway]);
-    assert_eq!(answer(question(), "SHED", "ask-1"), [Evidence::Drains]);
-    assert_eq!(answer(question(), "FAULT", "ask-1"), [Evidence::Unclear]);
+    assert_eq!(answer(probe(), "PONG", "ask-1"), confirms(None));
+    assert_eq!(answer(probe(), "SICK", "ask-1"), [Evidence::Denies]);
+    assert_eq!(answer(probe(), "SHED", "ask-1"), [Evidence::RefusesQuestion], "a full table's word");
+    assert_eq!(answer(asks(), "HIT", "ask-1"), confirms(Some(2)));
+    assert_eq!(answer(asks(), "SHED", "ask-1"), [Evidence::RefusesQuestion]);
+    assert_eq!(answer(asks(), "FAULT", "ask-1"), [Evidence::Unclear]);
+    assert_eq!(answer(order(), "HIT", "load-3"), [], "one that drains may take it");
+    assert_eq!(answer(order(), "SHED", "load-3"), [], "for want of room, it may be");
     for word in ["NONE", "FAULT", "LATE"] {
         assert_eq!(answer(attempt("a"), word, "a"), [], "{word}");
     }
-    assert_eq!(answer(Task::Probe(1), "SICK", "probe-1"), [], "what that means is told nowhere");
+    assert_eq!(answer(Task::Probe(1), "SICK", "probe-1"), [], "it was not asked for that");
 }
 
 #[test]
--- a/crates/badgerwind-scale/src/rows/outages.rs
+++ b/crates/badgerwind-scale/src/rows/outages.rs
@@ -119,7 +119,8 @@
         let terms = Terms {
             drain_grace: GRACE,
             answer_within: SECOND / 4,
-            may_ask: true,
+            may_probe: true,
+            may_order: true,
             front_ends: 1,
             chance: 0.0,
         };
@@ -155,9 +156,12 @@
             self.answers.peek().copied().filter(|answer| answer.0 .0 <= now)
         {
             self.answers.pop();
-            let copies = question.then_some(1);
-            self.freshness.evidence(at, worker, Evidence::TakesWork { since, copies }, true);
-            if question {
+            if !question {
+                self.freshness.evidence(at, worker, Evidence::Served { since }, true);
+            } else {
+                for copies in [Some(1), None] {
+                    self.freshness.evidence(at, worker, Evidence::Confirms { since, copies }, true);
+                }
                 self.answers.push(Reverse((at + CALL_TIME, worker, at, false)));
             }
         }
