--- a/crates/badgerwind-cli/tests/platform/outages.rs
+++ b/crates/badgerwind-cli/tests/platform/outages.rs
@@ -6,8 +6,9 @@
 //! after silence began the drain counts as told; 0.3 s of grace later sends go on as before; both go, and another process
 //! listens at their addresses.
 //! Cause: the list of executors had no age. Discovery tells changes only, so that its silence read as "nothing changed".
-//! Evidence: sends to the draining executors keep their rate through the outage, and end within the grace once the event is
-//! written (`Outage::judge`); each one is turned away, and the next call goes there all the same.
+//! Evidence: sends to the draining executors go on until these are gone, though discovery is asked again and again; most are
+//! turned away, and the next call goes there all the same (`World::play` counts them). docs/incidents/discovery-outage.md has
+//! the figures.
 
 use crate::rig::{id, Front};
 use badgerwind_standins::platform::board::{record, Board, Mood};
