--- a/crates/badgerwind-freshness/src/confirmation.rs
+++ b/crates/badgerwind-freshness/src/confirmation.rs
@@ -98,7 +98,12 @@
     /// What discovery told of it holds again.
     AsListed(WorkerId),
     /// Its process counts as started just now.
-    Restarted(WorkerId),
+    Restarted {
+        /// The executor.
+        worker: WorkerId,
+        /// What waits for it was decided when it counted as warm, and is to be decided anew.
+        decide_anew: bool,
+    },
 }
 
 /// What is known of the executors, and how old it is.
@@ -348,7 +353,7 @@
                 self.turns_away(now, fresh, worker, proven);
                 Vec::new()
             }
-            Evidence::Confirms { since, copies } => self.confirms(fresh, worker, since, copies),
+            Evidence::Confirms { since, copies } => self.confirms(now, worker, since, copies),
             Evidence::Denies => self.denies(now, fresh, worker),
             Evidence::RefusesQuestion if proven => self.denies(now, fresh, worker),
             Evidence::RefusesQuestion | Evidence::Unclear => {
@@ -360,7 +365,7 @@
     }
 
     /// Counts a good answer to a question. The executor takes work once all of them are in.
-    fn confirms(&mut self, fresh: bool, worker: WorkerId, since: Time, copies: Option<u32>) -> Vec<Change> {
+    fn confirms(&mut self, now: Time, worker: WorkerId, since: Time, copies: Option<u32>) -> Vec<Change> {
         let Some(record) = self.records.get_mut(&worker) else { return Vec::new() };
         let Some(inquiry) = record.inquiry.as_mut().filter(|inquiry| since >= inquiry.asked) else {
             return Vec::new(); // it answers what was given up
@@ -375,10 +380,11 @@
         record.inquiry = None;
         record.denials = 0;
         self.asking.remove(&worker);
-        self.takes_work(fresh, worker, since, copies)
+        self.takes_work(now, worker, since, copies)
     }
 
-    fn takes_work(&mut self, fresh: bool, worker: WorkerId, since: Time, copies: Option<u32>) -> Vec<Change> {
+    fn takes_work(&mut self, now: Time, worker: WorkerId, since: Time, copies: Option<u32>) -> Vec<Change> {
+        let fresh = self.source.fresh(now);
         let Some(record) = self.records.get_mut(&worker) else { return Vec::new() };
         record.turned_away = 0;
         if record.service == Service::Unidentified && !fresh {
@@ -389,8 +395,8 @@
         let service = std::mem::take(&mut record.service);
         record.replaced |= service == Service::Unidentified;
         // The first word of a process, where the list may be older than it: one that holds no copy of what is called there may
-        // have started just now.
-        let list_of_unknown_age = !self.source.ever_vouched();
+        // have started just now. Soon after a start discovery's first word is on its way, and says so itself.
+        let list_of_unknown_age = !self.source.ever_vouched() && now >= self.started + FIRST_WORD_WITHIN;
         let met = std::mem::replace(&mut record.met, true);
         let mut changes = Vec::new();
         let returns = service == Service::Draining && std::mem::take(&mut record.withdrawn);
@@ -400,9 +406,10 @@
         // While discovery is heard, it tells of a new start itself. A presumption holds beyond a return.
         let empty_newcomer = list_of_unknown_age && !met && copies == Some(0);
         if !fresh && (record.replaced || empty_newcomer || returns && record.presumed_restarted) {
+            let decide_anew = record.replaced;
             (record.presumed_restarted, record.replaced, record.lost) = (true, false, None);
             self.counters.restarted += 1;
-            changes.push(Change::Restarted(worker));
+            changes.push(Change::Restarted { worker, decide_anew });
         }
         self.note_deviation(worker);
         changes
--- a/crates/badgerwind-gateway/src/platform/freshness.rs
+++ b/crates/badgerwind-gateway/src/platform/freshness.rs
@@ -152,10 +152,12 @@
                     tracing::info!(worker = %name(worker), "an executor counts as service discovery told");
                     self.relist(worker, None);
                 }
-                Change::Restarted(worker) => {
+                Change::Restarted { worker, decide_anew } => {
                     tracing::info!(worker = %name(worker), "an executor counts as just started: nothing shows that its process is the one of before");
                     self.tell(Input::PresumedRestart { worker });
-                    self.give_up_waiting(worker, Outcome::Moot);
+                    if decide_anew {
+                        self.give_up_waiting(worker, Outcome::Moot);
+                    }
                 }
             }
         }
