Review: nothing is kept of gone executors, waits end with their question, decisions leave the shell

Work withheld for a pause ends as turned away, so that the module goes elsewhere, instead of as never sent; - each start logged a warning of a stale list, and each write made a name it did not need.

--- a/crates/badgerwind-cli/tests/platform/questions.rs
+++ b/crates/badgerwind-cli/tests/platform/questions.rs
@@ -121,6 +121,32 @@
     assert!(rig.executors[0].words("FN").iter().all(|s| s.req != left.id));
 }
 
+/// The call whose turn it was to ask has left, and the connection ends under its question: whoever waits on another one asks anew.
+#[test]
+fn work_on_another_connection_does_not_wait_for_a_question_that_ended_with_its_connection() {
+    let open = Arc::<AtomicBool>::default();
+    let closes = open.clone();
+    let script: Script = Box::new(move |s| match (s.word.as_str(), s.connection) {
+        ("HELO", 0) => {
+            assert!(until(|| closes.load(Ordering::Relaxed)));
+            vec![Do::Close]
+        }
+        _ => well(s),
+    });
+    let rig = untold_and_patient(vec![script]);
+    let book = |n| Ask { class: "book".into(), key: format!("{n:016x}"), wait_ms: 20_000, ..Ask::new(n) };
+    let (mut leaves, mut stays) = (rig.web(), rig.web());
+    leaves.ask(1, &book(1)).unwrap();
+    assert!(until(|| questions(&rig.executors[0]) == 2));
+    stays.ask(1, &book(2)).unwrap();
+    assert!(until(|| rig.executors[0].doors.opened.load(Ordering::Relaxed) == 2));
+    leaves.abort(1).unwrap();
+    assert_eq!(rig.health(), 200);
+    open.store(true, Ordering::Relaxed);
+    assert_eq!(stays.answer().unwrap().status, 200);
+    assert_eq!(work(&rig.executors[0]).len(), 1);
+}
+
 /// The executor ends while nothing is out there, and another process has its address before anything is called again.
 #[test]
 fn nothing_goes_to_whoever_listens_at_the_address_of_one_that_has_gone() {
--- a/crates/badgerwind-freshness/src/confirmation.rs
+++ b/crates/badgerwind-freshness/src/confirmation.rs
@@ -13,8 +13,8 @@
 use crate::counters::Counters;
 use crate::record::{Inquiry, Record, Service};
 use crate::source::{Ending, Heard, SourceWatch, Transition};
-use badgerwind::interface::{FunctionId, Span, Time, WorkerId};
-use std::collections::{BTreeSet, HashMap};
+use badgerwind::interface::{FunctionId, Outcome, Span, Time, WorkerId};
+use std::collections::{BTreeSet, HashMap, HashSet};
 
 /// What of the grace is left unused, between the look at the clock and the first byte.
 const MARGIN: Span = 10_000;
@@ -22,6 +22,8 @@
 const LEAST_VALIDITY: Span = 25_000;
 /// A process that died is not replaced within so long after its connections ended.
 const SAME_PROCESS_WITHIN: Span = 500_000;
+/// Longest wait before an executor whose last connection ended is connected to again.
+const RECONNECT_WITHIN: Span = 200_000;
 /// By then discovery has noticed what became of an executor that was not to be reached.
 const NOTICED_WITHIN: Span = 10_000_000;
 /// First and longest pause after calls were turned away in a row.
@@ -64,8 +66,8 @@
     Ask,
     /// Not before the question under way is answered.
     Wait,
-    /// No; it is to go another way.
-    Denied,
+    /// No; it ends so, never sent, and may go another way.
+    Denied(Outcome),
 }
 
 /// What an answer of an executor proves.
@@ -93,16 +95,18 @@
 /// What follows for others.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Change {
-    /// Nothing new goes there, as if discovery had told that it drains.
+    /// Nothing new goes there, as if discovery had told that it drains; what waits there may go another way.
     OutOfService(WorkerId),
     /// What discovery told of it holds again.
     AsListed(WorkerId),
     /// Its process counts as started just now.
-    Restarted {
+    Restarted(WorkerId),
+    /// What waits for its answer ends so, never sent, and may go another way.
+    SendElsewhere {
         /// The executor.
         worker: WorkerId,
-        /// What waits for it was decided when it counted as warm, and is to be decided anew.
-        decide_anew: bool,
+        /// How it ends.
+        outcome: Outcome,
     },
 }
 
@@ -112,6 +116,8 @@
     terms: Terms,
     started: Time,
     source: SourceWatch,
+    /// Executors that discovery has named and that are not gone. Nothing is kept of others.
+    listed: HashSet<WorkerId>,
     records: HashMap<WorkerId, Record>,
     /// Executors of which discovery's word would change something.
     deviating: BTreeSet<WorkerId>,
@@ -131,6 +137,7 @@
             terms,
             started: now,
             source: SourceWatch::new(spread),
+            listed: HashSet::new(),
             records: HashMap::new(),
             deviating: BTreeSet::new(),
             asking: BTreeSet::new(),
@@ -144,6 +151,11 @@
         self.source.fresh(now)
     }
 
+    /// How many executors something is kept of.
+    pub fn kept(&self) -> usize {
+        self.listed.len().max(self.records.len()).max(self.deviating.len()).max(self.asking.len())
+    }
+
     /// Counts since the start.
     pub fn counters(&self) -> &Counters {
         &self.counters
@@ -185,15 +197,20 @@
     pub fn listed(&mut self, worker: WorkerId, gone: bool) {
         self.deviating.remove(&worker);
         if gone {
+            self.listed.remove(&worker);
             self.records.remove(&worker);
             self.asking.remove(&worker);
-        } else if let Some(record) = self.records.get_mut(&worker) {
+            return;
+        }
+        self.listed.insert(worker);
+        if let Some(record) = self.records.get_mut(&worker) {
             *record = record.as_listed(false);
         }
     }
 
     /// Discovery told a whole list: whoever is not in it is gone.
     pub fn listed_whole(&mut self, named: &BTreeSet<WorkerId>) {
+        self.listed.retain(|worker| named.contains(worker));
         self.records.retain(|worker, _| named.contains(worker));
         self.deviating.retain(|worker| named.contains(worker));
         self.asking.retain(|worker| named.contains(worker));
@@ -241,6 +258,11 @@
         differs.then_some(Change::AsListed(worker))
     }
 
+    /// What is kept of an executor that is listed.
+    fn record(&mut self, worker: WorkerId) -> Option<&mut Record> {
+        self.listed.contains(&worker).then(|| self.records.entry(worker).or_default())
+    }
+
     // ---- Work. ----
 
     /// Whether new work may begin to go to an executor now.
@@ -250,13 +272,16 @@
             return if fresh { Permit::Granted } else { self.question(now) };
         };
         if record.service == Service::Draining {
-            return Permit::Denied;
+            return Permit::Denied(Outcome::Moot);
         }
         if fresh && !record.suspect {
             return Permit::Granted;
         }
-        if record.service == Service::Unidentified || now < record.paused_until {
-            return Permit::Denied;
+        if record.service == Service::Unidentified {
+            return Permit::Denied(Outcome::Moot);
+        }
+        if now < record.paused_until {
+            return Permit::Denied(Outcome::Full);
         }
         if record.confirmed_within(now, self.validity()) && !record.replaced {
             return Permit::Granted;
@@ -273,7 +298,7 @@
         } else if now < self.started + FIRST_WORD_WITHIN {
             Permit::Wait
         } else {
-            Permit::Denied
+            Permit::Denied(Outcome::Moot)
         }
     }
 
@@ -297,7 +322,7 @@
     /// The questions are put in line, about a function that clients have called.
     pub fn asked(&mut self, now: Time, worker: WorkerId, function: FunctionId) {
         let pending = 1 + u32::from(self.asks_by_order());
-        let record = self.records.entry(worker).or_default();
+        let Some(record) = self.record(worker) else { return };
         record.inquiry = Some(Inquiry { asked: now, pending, since: None, copies: None });
         record.function = Some(function);
         self.asking.insert(worker);
@@ -313,19 +338,20 @@
         }
     }
 
-    /// The executors whose question has had no answer in time: what waits for it goes another way.
-    pub fn overdue(&mut self, now: Time) -> Vec<WorkerId> {
+    /// What follows from questions that have had no answer in time.
+    pub fn overdue(&mut self, now: Time) -> Vec<Change> {
         let within = self.terms.answer_within;
         let overdue = |worker: &WorkerId| {
             let inquiry = self.records.get(worker).and_then(|record| record.inquiry);
             inquiry.is_some_and(|inquiry| now >= inquiry.asked + within)
         };
         let all: Vec<WorkerId> = self.asking.iter().copied().filter(overdue).collect();
-        for worker in &all {
-            self.unanswered(*worker);
-            self.records.entry(*worker).and_modify(|record| record.silent = true);
-        }
-        all
+        let give_up = |worker: WorkerId| {
+            self.unanswered(worker);
+            self.records.entry(worker).and_modify(|record| record.silent = true);
+            Change::SendElsewhere { worker, outcome: Outcome::ConnectFailed }
+        };
+        all.into_iter().map(give_up).collect()
     }
 
     /// The executors that said that they drain, and are to be asked again now; and about which function.
@@ -345,8 +371,9 @@
         let fresh = self.source.fresh(now);
         match evidence {
             Evidence::Served => {
-                let record = self.records.entry(worker).or_default();
-                (record.turned_away, record.silent, record.met) = (0, false, true);
+                if let Some(record) = self.record(worker) {
+                    (record.turned_away, record.silent, record.met) = (0, false, true);
+                }
                 Vec::new()
             }
             Evidence::TurnsAway => {
@@ -356,14 +383,18 @@
             Evidence::Confirms { since, copies } => self.confirms(now, worker, since, copies),
             Evidence::Denies => self.denies(now, fresh, worker),
             Evidence::RefusesQuestion if proven => self.denies(now, fresh, worker),
-            Evidence::RefusesQuestion | Evidence::Unclear => {
-                self.unanswered(worker);
-                self.records.entry(worker).or_default().paused_until = now + UNCLEAR_PAUSE;
-                Vec::new()
-            }
+            Evidence::RefusesQuestion | Evidence::Unclear => self.unclear(now, worker),
         }
     }
 
+    /// A question was answered with what tells nothing.
+    fn unclear(&mut self, now: Time, worker: WorkerId) -> Vec<Change> {
+        self.unanswered(worker);
+        let Some(record) = self.record(worker) else { return Vec::new() };
+        record.paused_until = now + UNCLEAR_PAUSE;
+        vec![Change::SendElsewhere { worker, outcome: Outcome::Full }]
+    }
+
     /// Counts a good answer to a question. The executor takes work once all of them are in.
     fn confirms(&mut self, now: Time, worker: WorkerId, since: Time, copies: Option<u32>) -> Vec<Change> {
         let Some(record) = self.records.get_mut(&worker) else { return Vec::new() };
@@ -406,10 +437,14 @@
         // While discovery is heard, it tells of a new start itself. A presumption holds beyond a return.
         let empty_newcomer = list_of_unknown_age && !met && copies == Some(0);
         if !fresh && (record.replaced || empty_newcomer || returns && record.presumed_restarted) {
+            // What waits was decided when it counted as warm.
             let decide_anew = record.replaced;
             (record.presumed_restarted, record.replaced, record.lost) = (true, false, None);
             self.counters.restarted += 1;
-            changes.push(Change::Restarted { worker, decide_anew });
+            changes.push(Change::Restarted(worker));
+            if decide_anew {
+                changes.push(Change::SendElsewhere { worker, outcome: Outcome::Moot });
+            }
         }
         self.note_deviation(worker);
         changes
@@ -423,7 +458,7 @@
         if !proven {
             return; // for want of room for another connection, it may be
         }
-        let record = self.records.entry(worker).or_default();
+        let Some(record) = self.record(worker) else { return };
         record.confirmed = None;
         if record.turned_away > 0 {
             let pause = FIRST_PAUSE << (record.turned_away - 1).min(8);
@@ -434,8 +469,9 @@
 
     fn denies(&mut self, now: Time, fresh: bool, worker: WorkerId) -> Vec<Change> {
         let shared_pace = u64::from(self.terms.front_ends) * SECOND / REPEATS_PER_SECOND;
-        let record = self.records.entry(worker).or_default();
+        let chance = self.terms.chance;
         self.asking.remove(&worker);
+        let Some(record) = self.record(worker) else { return Vec::new() };
         record.inquiry = None;
         if fresh && !record.suspect && record.service != Service::Draining {
             return Vec::new(); // an order that renews copies; discovery tells of the drain
@@ -443,7 +479,7 @@
         record.service = Service::Draining;
         (record.confirmed, record.met) = (None, true);
         let pause = (DENIAL_PAUSE << record.denials.min(LONGEST_DOUBLING)).min(shared_pace.max(DENIAL_PAUSE));
-        record.paused_until = now + pause + (pause as f64 * self.terms.chance) as Span;
+        record.paused_until = now + pause + (pause as f64 * chance) as Span;
         record.denials += 1;
         let withdrawn = std::mem::replace(&mut record.withdrawn, true);
         self.deviating.insert(worker);
@@ -456,17 +492,22 @@
 
     // ---- Connections. ----
 
-    /// The last connection to an executor has ended.
-    pub fn disconnected(&mut self, now: Time, worker: WorkerId) {
+    /// The last connection to an executor has ended. While the list is stale another one, after the time that is returned,
+    /// shows whether the process is there: later it might be a successor's. Once only until it confirms anew, so that one that
+    /// ends all connections is not connected to without end. `chance`, from 0 to 1 and drawn anew, keeps front ends out of step.
+    pub fn disconnected(&mut self, now: Time, worker: WorkerId, chance: f64) -> Option<Span> {
+        let fresh = self.source.fresh(now);
         self.asking.remove(&worker);
-        let Some(record) = self.records.get_mut(&worker) else { return };
-        (record.inquiry, record.confirmed) = (None, None);
+        let record = self.record(worker)?;
+        record.inquiry = None;
+        let confirmed = record.confirmed.take().is_some();
         record.lost = record.lost.or(Some(now));
         if record.service == Service::Draining {
             // It has come to its end.
             record.service = Service::Unidentified;
         }
         self.note_deviation(worker);
+        (confirmed && !fresh).then_some((RECONNECT_WITHIN as f64 * chance.clamp(0.0, 1.0)) as Span)
     }
 
     /// A connection to an executor has come up, and none stood beside it.
@@ -488,12 +529,13 @@
     pub fn refused(&mut self, now: Time, worker: WorkerId) -> Vec<Change> {
         let fresh = self.source.fresh(now);
         self.asking.remove(&worker);
-        self.deviating.insert(worker);
-        let record = self.records.entry(worker).or_default();
+        let Some(record) = self.record(worker) else { return Vec::new() };
         record.service = Service::Unidentified;
         (record.inquiry, record.confirmed) = (None, None);
         record.lost = record.lost.or(Some(now));
-        if fresh || std::mem::replace(&mut record.withdrawn, true) {
+        let withdrawn = fresh || std::mem::replace(&mut record.withdrawn, true);
+        self.deviating.insert(worker);
+        if withdrawn {
             return Vec::new();
         }
         self.counters.unidentified += 1;
--- a/crates/badgerwind-gateway/src/platform/connection.rs
+++ b/crates/badgerwind-gateway/src/platform/connection.rs
@@ -1,5 +1,6 @@
 //! One connection to an executor: what is written on it and when, what its answers and its end prove.
 
+use super::freshness::name;
 use super::shell::{Content, Input, Shell};
 use super::wire::{is_short, Wire};
 use badgerwind::interface::*;
@@ -141,6 +142,11 @@
         self.wire.borrow().is_some()
     }
 
+    /// Whether new work waits on it.
+    pub(super) fn has_new_work(&self) -> bool {
+        self.link.borrow().waiting().any(|task| task.new_work(Out::key).is_some())
+    }
+
     /// The function of the first new work that waits on it.
     pub(super) fn first_new_work(&self) -> Option<FunctionId> {
         self.link.borrow().waiting().find_map(|task| task.new_work(Out::key)).map(FunctionId::from)
@@ -187,7 +193,7 @@
         // which nobody has told for too long whether it takes work.
         let leaving = self.executors.leaving(c.worker);
         let barred = leaving.is_some_and(|at| now + MARGIN > at + self.set.drain_grace);
-        let permit = if barred { Permit::Denied } else { self.permit(c, now) };
+        let permit = if barred { Permit::Denied(Outcome::ConnectFailed) } else { self.permit(c, now) };
         let mut link = c.link.borrow_mut();
         link.begin(now, |task, out| self.start(now, permit, task, out), &mut ends);
         let failed = match wire.write(link.out()) {
@@ -204,8 +210,10 @@
             Err(_) => true,
         };
         drop(link);
-        // One that drains by discovery's word takes nothing; by its own, it was not asked.
-        let unsent = if barred { Outcome::ConnectFailed } else { Outcome::Moot };
+        let unsent = match permit {
+            Permit::Denied(outcome) => outcome,
+            _ => Outcome::ConnectFailed, // its time is up
+        };
         ends.into_iter().for_each(|end| self.end(c.worker, end, unsent));
         if failed {
             self.broken(c, false);
@@ -218,7 +226,7 @@
             match permit {
                 Permit::Granted => self.freshness.borrow_mut().sent(now),
                 Permit::Ask | Permit::Wait => return Start::Held,
-                Permit::Denied => return Start::Dropped,
+                Permit::Denied(_) => return Start::Dropped,
             }
         }
         if self.line(now, task, out) {
@@ -307,6 +315,8 @@
                 end => self.end(c.worker, end, c.unsent.get()),
             }
         }
+        // A question may have ended with it for which work waits on other connections.
+        self.push_out_waiting(c.worker);
     }
 
     /// What an answer says of the connection that it came over.
@@ -418,7 +428,7 @@
             if let Err(e) = fed {
                 c.over.set(Some(Over::Spoilt));
                 if let Some(more) = self.complaints.answer.may(now) {
-                    let worker = format_args!("s-{:08x}", c.worker);
+                    let worker = name(c.worker);
                     tracing::warn!(%worker, more, "an executor sent {e}; its connection is broken off");
                 }
             }
--- a/crates/badgerwind-gateway/src/platform/discovery.rs
+++ b/crates/badgerwind-gateway/src/platform/discovery.rs
@@ -163,6 +163,12 @@
         let fed = follower.feed(&discovery.places, bytes, &mut news);
         let (heard, partial) = (follower.heard(), follower.partial());
         drop(follower);
+        if !news.is_empty() && !self.freshness.borrow().fresh(self.clock.now()) {
+            tracing::info!(
+                events = news.len(),
+                "service discovery tells events while the list of executors is stale"
+            );
+        }
         news.iter().for_each(|n| self.news(n));
         self.discovery_heard(*waited_since, heard);
         if !partial {
--- a/crates/badgerwind-gateway/src/platform/freshness.rs
+++ b/crates/badgerwind-gateway/src/platform/freshness.rs
@@ -10,9 +10,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Longest wait, drawn anew each time, before an executor whose last connection ended is connected to again.
-const RECONNECT_WITHIN: Duration = Duration::from_millis(200);
-
 impl Shell {
     /// Something came from service discovery, waited for since then.
     pub(super) fn discovery_heard(self: &Rc<Self>, waited_since: Time, heard: Heard) {
@@ -31,7 +28,10 @@
         let (transition, changes) = self.freshness.borrow_mut().transition(self.clock.now());
         match transition {
             None => return,
-            Some(Transition::Stale { age }) => tracing::warn!(
+            Some(Transition::Stale { age: None }) => {
+                tracing::info!("service discovery has not been heard yet: work goes to executors that confirm that they take it");
+            }
+            Some(Transition::Stale { age: Some(age) }) => tracing::warn!(
                 age_us = age,
                 "the list of executors is stale: service discovery has not vouched for it; work goes to those who confirm that they take it"
             ),
@@ -42,8 +42,7 @@
         }
         self.apply(changes);
         if matches!(transition, Some(Transition::Fresh { .. })) {
-            let workers = self.executors.workers();
-            workers.into_iter().for_each(|worker| self.push_out_waiting(worker));
+            self.executors.workers().into_iter().for_each(|worker| self.push_out_waiting(worker));
         }
     }
 
@@ -51,12 +50,8 @@
     pub(super) fn sweep_freshness(self: &Rc<Self>) {
         self.look_at_freshness();
         let now = self.clock.now();
-        let overdue = self.freshness.borrow_mut().overdue(now);
-        for worker in overdue {
-            let worker_name = name(worker);
-            tracing::debug!(worker = %worker_name, "a question had no answer in time");
-            self.give_up_waiting(worker, Outcome::ConnectFailed);
-        }
+        let changes = self.freshness.borrow_mut().overdue(now);
+        self.apply(changes);
         let repeats = self.freshness.borrow_mut().repeats(now);
         for (worker, function) in repeats {
             if let Some(connection) = self.executors.proven(worker) {
@@ -64,6 +59,8 @@
                 self.push_out(&connection);
             }
         }
+        // Whatever ended the wait of work, it waits no longer than until now.
+        self.executors.workers().into_iter().for_each(|worker| self.push_out_waiting(worker));
         self.report_cost(now);
     }
 
@@ -81,12 +78,12 @@
     /// Whether new work that waits on a connection may go out now. Where its executor is to be asked first, the question is
     /// put in line.
     pub(super) fn permit(self: &Rc<Self>, connection: &Rc<Connection>, now: Time) -> Permit {
-        let function = connection.first_new_work();
-        let Some(function) = function else { return Permit::Granted };
-        let permit = self.freshness.borrow_mut().permit(now, connection.worker);
-        if permit != Permit::Ask {
-            return permit;
+        if !connection.has_new_work() {
+            return Permit::Granted;
         }
+        let permit = self.freshness.borrow_mut().permit(now, connection.worker);
+        let function = if permit == Permit::Ask { connection.first_new_work() } else { None };
+        let Some(function) = function else { return permit };
         // Over a new one a refusal could be for want of room in the executor's table of connections.
         let proven = self.executors.proven(connection.worker);
         let other = proven.filter(|other| !Rc::ptr_eq(other, connection));
@@ -122,12 +119,11 @@
             if evidence == Evidence::TurnsAway {
                 self.complain_of_refusal(now, worker);
             }
-            if evidence == Evidence::Unclear || evidence == Evidence::RefusesQuestion && !proven {
-                self.give_up_waiting(worker, Outcome::Full);
-            }
             self.apply(changes);
+            if matches!(evidence, Evidence::Confirms { .. }) {
+                self.push_out_waiting(worker);
+            }
         }
-        self.push_out_waiting(worker);
     }
 
     fn complain_of_refusal(&self, now: Time, worker: WorkerId) {
@@ -152,12 +148,13 @@
                     tracing::info!(worker = %name(worker), "an executor counts as service discovery told");
                     self.relist(worker, None);
                 }
-                Change::Restarted { worker, decide_anew } => {
+                Change::Restarted(worker) => {
                     tracing::info!(worker = %name(worker), "an executor counts as just started: nothing shows that its process is the one of before");
                     self.tell(Input::PresumedRestart { worker });
-                    if decide_anew {
-                        self.give_up_waiting(worker, Outcome::Moot);
-                    }
+                }
+                Change::SendElsewhere { worker, outcome } => {
+                    tracing::debug!(worker = %name(worker), ?outcome, "an executor did not confirm that it takes work");
+                    self.give_up_waiting(worker, outcome);
                 }
             }
         }
@@ -185,9 +182,9 @@
     }
 
     /// What waited for an answer goes out on each connection of the executor.
-    fn push_out_waiting(self: &Rc<Self>, worker: WorkerId) {
+    pub(super) fn push_out_waiting(self: &Rc<Self>, worker: WorkerId) {
         for connection in self.executors.connections(worker) {
-            if connection.first_new_work().is_some() {
+            if connection.has_new_work() {
                 self.push_out(&connection);
             }
         }
@@ -209,23 +206,18 @@
         }
     }
 
-    /// A connection that was up has ended. While the list is stale, another one shows at once whether the process is there:
-    /// later it might be a successor's.
+    /// A connection that was up has ended.
     pub(super) fn went_down(self: &Rc<Self>, connection: &Rc<Connection>) {
         let worker = connection.worker;
         if !self.executors.stands_alone(connection) {
             return;
         }
         let now = self.clock.now();
-        let mut freshness = self.freshness.borrow_mut();
-        freshness.disconnected(now, worker);
-        if freshness.fresh(now) || self.stopping.get() {
-            return;
-        }
-        drop(freshness);
+        let after = self.freshness.borrow_mut().disconnected(now, worker, fastrand::f64());
+        let Some(after) = after.filter(|_| !self.stopping.get()) else { return };
         let shell = self.clone();
         let reconnect = async move {
-            Timer::after(RECONNECT_WITHIN.mul_f64(fastrand::f64())).await;
+            Timer::after(Duration::from_micros(after)).await;
             shell.executors.connect(&shell, worker);
         };
         self.tasks.spawn(reconnect).detach();
@@ -233,7 +225,7 @@
 }
 
 /// An executor's name, as discovery writes it.
-fn name(worker: WorkerId) -> impl std::fmt::Display {
+pub(super) fn name(worker: WorkerId) -> impl std::fmt::Display {
     struct Name(WorkerId);
     impl std::fmt::Display for Name {
         fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
--- a/crates/badgerwind-scale/src/rows/outages.rs
+++ b/crates/badgerwind-scale/src/rows/outages.rs
@@ -124,8 +124,10 @@
             front_ends: 1,
             chance: 0.0,
         };
+        let mut freshness = Freshness::new(0, terms);
+        (0..workers).for_each(|worker| freshness.listed(worker, false));
         HollowOutage {
-            freshness: Freshness::new(0, terms),
+            freshness,
             workers,
             rng: StdRng::seed_from_u64(seed),
             answers: BinaryHeap::new(),
@@ -145,7 +147,7 @@
                     self.freshness.asked(now, worker, self.function.clone());
                     self.answers.push(Reverse((now + QUESTION_TIME, worker, now, true)));
                 }
-                Permit::Wait | Permit::Denied => {}
+                Permit::Wait | Permit::Denied(_) => {}
             }
         }
     }
