The stand-in runner's ledger has a call's end before the call is answered

behind_a_fence_a_lodgement_tried_again_at_another_front_end_runs_once failed once beside ten busy processes: 503 where 200 was due. Cause: the word to the ledger was a task of its own, the answer went out beside it; whoever tried again at once found the call at work, three times, and was refused. Shown by a delay of 100 ms before that word: the same assertion with the same body. The word is given before the answer where the ledger is in the process.

--- a/crates/badgerwind-standins/src/fenced.rs
+++ b/crates/badgerwind-standins/src/fenced.rs
@@ -97,9 +97,7 @@
 
     async fn put(&self, asked: Asked) -> Said {
         match &self.link {
-            Link::Here(ledger) => {
-                asked.put_to(&mut ledger.lock().unwrap_or_else(PoisonError::into_inner), now())
-            }
+            Link::Here(ledger) => put_here(ledger, asked),
             Link::There(pool) => {
                 let body = serde_json::to_vec(&asked).unwrap_or_default();
                 let (method, target) = ("POST", "/ledger".to_owned());
@@ -118,9 +116,20 @@
         self.put(Asked { key: key.to_owned(), fence, how: None }).await
     }
 
-    /// Says how it ended. A word that is lost leaves the call in doubt once its lease has ended.
+    /// Says how it ended. A word that is lost leaves the call in doubt once its lease has ended. A ledger of this process has it
+    /// before the call is answered: whoever has the answer and tries again is told that it ran, and not that one is at work.
     pub fn ended(&self, key: String, fence: Fence, how: How) {
-        let me = self.clone();
-        smol::spawn(async move { _ = me.put(Asked { key, fence, how: Some(how) }).await }).detach();
+        let asked = Asked { key, fence, how: Some(how) };
+        match &self.link {
+            Link::Here(ledger) => _ = put_here(ledger, asked),
+            Link::There(_) => {
+                let me = self.clone();
+                smol::spawn(async move { _ = me.put(asked).await }).detach();
+            }
+        }
     }
 }
+
+fn put_here(ledger: &Mutex<Ledger<String>>, asked: Asked) -> Said {
+    asked.put_to(&mut ledger.lock().unwrap_or_else(PoisonError::into_inner), now())
+}
