A connection that reaches itself is refused and leaves the server its port

Callers: a control service, list service, executor or member that restarts there cannot listen while the connection stands, nor through its TIME-WAIT. Cause: TCP joins a socket to itself (simultaneous open), and no connector looked. All four did not: HTTP pools, service discovery, executors, links. Mended: badgerwind-connect compares the connection's two ends; equal ones are reset (no TIME-WAIT) and count as refused, which proves that nothing ran. Test: fails with the check left out (a connection to itself was taken for one to a server) and with the reset left out (the port is not free). Also: a control service that does not answer is a warning with its address, once in 10 s, as is the first failure in a row of a register's link; the limit of such lines (Seldom) has a file of its own, log_limit.rs.

--- a/crates/badgerwind-fleet/src/link.rs
+++ b/crates/badgerwind-fleet/src/link.rs
@@ -106,34 +106,52 @@
     Ok((who, noise.into_transport_mode()?))
 }
 
-async fn sending(seal: &Seal, to: Member, at: SocketAddr, from: &Receiver<Message>) -> Result<(), Broken> {
-    // Nothing is opened before there is something to say: of 300 members most speak to voters alone.
-    let Ok(mut message) = from.recv().await else { return Ok(()) };
-    let connect = async { Ok(TcpStream::connect(at).await?) };
-    let mut stream = connect.or(late(PATIENCE)).await?;
-    stream.set_nodelay(true)?;
-    let mut noise = opened(seal, to, &mut stream).or(late(PATIENCE)).await?;
-    let mut sealed = vec![0u8; 65_535];
-    loop {
-        let bytes = message.bytes();
-        let framed = [&(bytes.len() as u32).to_be_bytes()[..], &bytes].concat();
-        for part in framed.chunks(PIECE) {
-            let n = noise.write_message(part, &mut sealed)?;
-            piece(&mut stream, &sealed[..n]).or(late(STUCK)).await?;
+/// The way to one member.
+struct Link<'a> {
+    seal: &'a Seal,
+    to: Member,
+    at: SocketAddr,
+}
+
+impl Link<'_> {
+    /// Sends what comes, over one connection; `proven` is called once the member has proven itself.
+    async fn sending(&self, from: &Receiver<Message>, proven: impl FnOnce()) -> Result<(), Broken> {
+        // Nothing is opened before there is something to say: of 300 members most speak to voters alone.
+        let Ok(mut message) = from.recv().await else { return Ok(()) };
+        let connect = async { Ok(badgerwind_connect::connect(self.at).await?) };
+        let mut stream = TcpStream::from(connect.or(late(PATIENCE)).await?);
+        stream.set_nodelay(true)?;
+        let mut noise = opened(self.seal, self.to, &mut stream).or(late(PATIENCE)).await?;
+        proven();
+        let mut sealed = vec![0u8; 65_535];
+        loop {
+            let bytes = message.bytes();
+            let framed = [&(bytes.len() as u32).to_be_bytes()[..], &bytes].concat();
+            for part in framed.chunks(PIECE) {
+                let n = noise.write_message(part, &mut sealed)?;
+                piece(&mut stream, &sealed[..n]).or(late(STUCK)).await?;
+            }
+            message = match from.recv().await {
+                Ok(next) => next,
+                Err(_) => return Ok(()),
+            };
         }
-        message = match from.recv().await {
-            Ok(next) => next,
-            Err(_) => return Ok(()),
-        };
     }
 }
 
 /// Leads what is put into a queue to a member, over one connection after another, until the queue is closed. What waits while
-/// there is none is old by the time there is, and dropped.
+/// there is none is old by the time there is, and dropped. The first of failures in a row is a warning in the log.
 pub async fn lead(seal: Seal, to: Member, at: SocketAddr, from: Receiver<Message>) {
+    let mut failing = false;
     while !from.is_closed() {
-        if let Err(e) = sending(&seal, to, at, &from).await {
-            tracing::debug!(member = to, "a link ended: {e}");
+        let link = Link { seal: &seal, to, at };
+        if let Err(e) = link.sending(&from, || failing = false).await {
+            if failing {
+                tracing::debug!(member = to, "a link ended: {e}");
+            } else {
+                tracing::warn!(member = to, address = %at, "a link ended: {e}; it is opened again");
+            }
+            failing = true;
         }
         Timer::after(PAUSE).await;
         while from.try_recv().is_ok() {}
--- a/crates/badgerwind-gateway/src/control.rs
+++ b/crates/badgerwind-gateway/src/control.rs
@@ -5,6 +5,7 @@
 use crate::clock::Clock;
 use crate::engine::{Control, Terms};
 use crate::front::{Front, Rules};
+use crate::log_limit::LogLimit;
 use crate::runners::Runners;
 use crate::secrets;
 use crate::shares::Shares;
@@ -24,6 +25,7 @@
 use smol::Timer;
 use std::collections::HashMap;
 use std::io::Write;
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -97,6 +99,8 @@
     pub listed: Arc<Mutex<Vec<WorkerEntry>>>,
     /// Where every type stands, for whoever asks here.
     pub report: Arc<Mutex<Vec<Report>>>,
+    /// Limits the lines about services that do not answer.
+    pub unanswered: Mutex<LogLimit>,
 }
 
 impl Follower {
@@ -185,7 +189,7 @@
         request.node.metadata.health = self.health();
         let turn = next.load(Ordering::Relaxed) % pools.len().max(1);
         let pool = pools.get(turn).cloned()?;
-        let (next, wait) = (next.clone(), self.settings.wait);
+        let (me, next, wait) = (self.clone(), next.clone(), self.settings.wait);
         Some(smol::spawn(async move {
             let body = serde_json::to_vec(&request).unwrap_or_default();
             let target = format!("/v3/discovery:{}?wait={}", kind.name(), wait.as_millis());
@@ -209,7 +213,7 @@
             let input = match asked.or(late).await {
                 Ok(response) => Input::Offered { kind, ask: number, response },
                 Err(text) => {
-                    tracing::debug!(kind = kind.name(), "the control service does not answer: {text}");
+                    me.warn_unanswered(pool.address(), kind, &text);
                     // The next question goes to the next service.
                     let _ = next.compare_exchange(turn, turn + 1, Ordering::Relaxed, Ordering::Relaxed);
                     Input::Failed { kind, ask: number, draw: fastrand::f64() }
@@ -219,6 +223,16 @@
         }))
     }
 
+    fn warn_unanswered(&self, address: SocketAddr, kind: Kind, why: &str) {
+        let limit = self.unanswered.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(more) = limit.may(self.clock.now()) {
+            tracing::warn!(
+                %address, kind = kind.name(), more,
+                "the control service does not answer: {why}; the settings that run stand, and it is asked again"
+            );
+        }
+    }
+
     /// Reads the keys that the settings name, and tries the settings on the calls of late.
     fn prepare(self: &Arc<Self>, ticket: u64, settings: Arc<Settings>, tell: Sender<Told>) {
         let me = self.clone();
--- a/crates/badgerwind-gateway/src/lib.rs
+++ b/crates/badgerwind-gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod front;
 mod known;
 mod list;
+mod log_limit;
 pub mod logging;
 mod metrics;
 mod peers;
--- a/crates/badgerwind-gateway/src/platform/connection.rs
+++ b/crates/badgerwind-gateway/src/platform/connection.rs
@@ -446,7 +446,7 @@
     /// theirs up, until one is.
     async fn dial(&self, c: &Connection, address: SocketAddr) -> std::io::Result<Async<TcpStream>> {
         loop {
-            let e = match Async::<TcpStream>::connect(address).await {
+            let e = match badgerwind_connect::connect(address).await {
                 Err(e) if is_short(&e) => e,
                 other => {
                     if !c.closing.get() {
--- a/crates/badgerwind-gateway/src/platform/discovery.rs
+++ b/crates/badgerwind-gateway/src/platform/discovery.rs
@@ -3,13 +3,14 @@
 use super::shell::{Input, Shell};
 use super::wire::is_short;
 use badgerwind::interface::{Availability, ListKind, Time};
+use badgerwind_connect::connect;
 use badgerwind_freshness::source::Ending;
 use badgerwind_platform::board::{BadFrame, Follower, News};
 use badgerwind_platform::config::Places;
 use futures_lite::{AsyncReadExt, AsyncWriteExt, FutureExt};
-use smol::{Async, Timer};
+use smol::Timer;
 use std::cell::{Cell, RefCell};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -121,7 +122,7 @@
     }
 
     async fn frames(self: &Rc<Self>, discovery: &Discovery, pause: &mut Duration) -> Interruption {
-        let connect = Async::<TcpStream>::connect(discovery.address.get());
+        let connect = connect(discovery.address.get());
         let mut stream = match connect.or(late(CONNECT)).await {
             Ok(stream) => stream,
             Err(e) => {
--- a/crates/badgerwind-gateway/src/platform/mod.rs
+++ b/crates/badgerwind-gateway/src/platform/mod.rs
@@ -2,11 +2,11 @@
 //! other, all on one thread. Nothing here decides where a call goes or whether it is tried again.
 
 mod clients;
+mod complaints;
 mod connection;
 mod discovery;
 mod executors;
 mod freshness;
-mod seldom;
 mod shell;
 mod wire;
 
--- a/crates/badgerwind-gateway/src/platform/shell.rs
+++ b/crates/badgerwind-gateway/src/platform/shell.rs
@@ -1,8 +1,8 @@
 //! What the parts of the platform front share, on one thread: settings, shares, the way to the engine.
 
 use super::clients::Clients;
+use super::complaints::Complaints;
 use super::executors::Executors;
-use super::seldom::Complaints;
 use crate::clock::Clock;
 use crate::engine::{Backend, InputOf, OutputOf};
 use crate::metrics::word;
--- a/crates/badgerwind-gateway/src/serve.rs
+++ b/crates/badgerwind-gateway/src/serve.rs
@@ -297,6 +297,7 @@
             zones: zones.clone(),
             listed,
             report: config.clone(),
+            unanswered: Default::default(),
         };
         tasks.push(smol::spawn(follower.run(client)));
     }
--- a/crates/badgerwind-http/src/client.rs
+++ b/crates/badgerwind-http/src/client.rs
@@ -179,8 +179,8 @@
         };
         let tls = self.tls.lock().unwrap_or_else(PoisonError::into_inner).clone();
         let made = async {
-            let stream = TcpStream::connect(self.address).await;
-            let stream = stream.map_err(|e| ExchangeError::Connect(e.to_string()))?;
+            let stream = badgerwind_connect::connect(self.address).await;
+            let stream: TcpStream = stream.map_err(|e| ExchangeError::Connect(e.to_string()))?.into();
             let _ = stream.set_nodelay(true); // only a delay is lost where it is not to be had
             match tls {
                 None => Ok(stream.into()),
