Ports that tests hand on stay bound; a child that ends early fails its test with its log

Seen: a_dozen_front_ends_a_third_of_bad_versions_and_a_service_that_keeps_vanishing failed in 1 of 32 plays (16 side by side): a version does not run. Cause: the service could not listen at any of its six starts. The socket table at that moment, in 2 of 48 plays of a scratch copy: a listener of the same rig, and one of a neighbour's, had been given the port that drop(listener) had handed back. In the other 46 the message never came. Mended: ReservedPort keeps the port bound, not listening, with address reuse, so that its server alone can have it; UDP addresses are of the process's own. A process that ends early fails its test with what it logged, in each place that starts one; logs under failed tests are kept and named.

--- a/crates/badgerwind-cli/benches/config.rs
+++ b/crates/badgerwind-cli/benches/config.rs
@@ -16,6 +16,7 @@
 use badgerwind_config::Kind;
 use badgerwind_http::{Exchange, Pool, PoolBounds};
 use badgerwind_settings::document::parse;
+use badgerwind_standins::reserved::ReservedPort;
 use hdrhistogram::Histogram;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -89,9 +90,8 @@
 fn spread(fronts: usize) {
     const VERSIONS: u64 = 25;
     let dir = tempfile::tempdir().unwrap();
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let at = listener.local_addr().unwrap();
-    drop(listener);
+    let port = ReservedPort::reserve().unwrap();
+    let at = port.address();
     let _service = truth::Service::start(dir.path(), at);
     std::fs::create_dir_all(dir.path().join("limits")).unwrap();
     smol::block_on(async {
@@ -187,9 +187,8 @@
 }
 
 fn memory(dir: &Path) {
-    let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
-    let at = listener.local_addr().unwrap();
-    drop(listener);
+    let port = ReservedPort::reserve().unwrap();
+    let at = port.address();
     let service = truth::Service::start(dir, at);
     std::thread::sleep(Duration::from_secs(1));
     let before = resident(service.id());
--- a/crates/badgerwind-cli/benches/config_processes.rs
+++ b/crates/badgerwind-cli/benches/config_processes.rs
@@ -10,6 +10,7 @@
 mod truth;
 
 use badgerwind_config::Kind;
+use badgerwind_standins::reserved::ReservedPort;
 use rig::{socket, Plan, Rig};
 use smol::io::{AsyncReadExt, AsyncWriteExt};
 use smol::net::{TcpListener, TcpStream};
@@ -109,8 +110,8 @@
 async fn measure(front_ends: usize) {
     let dir = tempfile::tempdir().unwrap();
     std::fs::create_dir_all(dir.path().join("limits")).unwrap();
-    let (listener, at) = socket().await;
-    drop(listener);
+    let port = ReservedPort::reserve().unwrap();
+    let at = port.address();
     let service = truth::Service::start(dir.path(), at);
     let (listener, relayed) = socket().await;
     let traffic = Arc::new(Traffic::default());
--- a/crates/badgerwind-cli/tests/platform/outages.rs
+++ b/crates/badgerwind-cli/tests/platform/outages.rs
@@ -15,6 +15,7 @@
 use badgerwind_standins::platform::executor::{hit, say, well, Do, Executor, Seen};
 use badgerwind_standins::platform::web::{Ask, Web};
 use badgerwind_standins::platform::{configuration, member, until};
+use badgerwind_standins::reserved::{unused_address, ReservedPort};
 use serde_json::{json, Value};
 use std::net::{SocketAddr, TcpListener};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
@@ -155,13 +156,14 @@
 /// An executor that turns work away once it drains.
 struct Server {
     executor: Executor,
+    port: Arc<ReservedPort>,
     drains: Arc<AtomicBool>,
     hangs: Arc<AtomicBool>,
     connections_ended: AtomicUsize,
 }
 
 impl Server {
-    fn on(listener: TcpListener, denial: Denial) -> Server {
+    fn on(port: Arc<ReservedPort>, listener: TcpListener, denial: Denial) -> Server {
         let (drains, hangs) = (Arc::<AtomicBool>::default(), Arc::<AtomicBool>::default());
         let (drains_now, hangs_now) = (drains.clone(), hangs.clone());
         let script = move |s: &Seen| match (s.word.as_str(), drains_now.load(Ordering::Relaxed)) {
@@ -175,7 +177,7 @@
             _ => well(s),
         };
         let executor = Executor::on(listener, usize::MAX, script).unwrap();
-        Server { executor, drains, hangs, connections_ended: AtomicUsize::new(0) }
+        Server { executor, port, drains, hangs, connections_ended: AtomicUsize::new(0) }
     }
 
     /// Ends all connections that have come up since the last time.
@@ -187,7 +189,9 @@
     }
 
     fn start(denial: Denial) -> Server {
-        Server::on(TcpListener::bind("127.0.0.1:0").unwrap(), denial)
+        let port = Arc::new(ReservedPort::reserve().unwrap());
+        let listener = port.listen().unwrap();
+        Server::on(port, listener, denial)
     }
 
     /// What the drain rule forbids that has come since a moment.
@@ -308,9 +312,7 @@
                 self.board.cut();
             }
             Kind::Moves => {
-                // A port that was free a moment ago, on an address from which nobody draws ports.
-                let nowhere = TcpListener::bind("127.0.0.3:0").unwrap().local_addr().unwrap();
-                self.follow(nowhere);
+                self.follow(unused_address());
                 self.board.mood(Mood::Silent);
             }
         }
@@ -420,14 +422,14 @@
 
     /// Another executor at the address of one that has gone, under an id of its own.
     fn replace(&self, n: usize) -> Server {
-        let address = self.servers[n].executor.address;
+        let port = self.servers[n].port.clone();
         let mut listener = None;
         assert!(until(|| {
-            listener = TcpListener::bind(address).ok();
+            listener = port.listen().ok();
             listener.is_some()
         }));
-        self.board.tell(&[record(id(n + EXECUTORS), address, READY)]);
-        Server::on(listener.unwrap(), self.plan.denial)
+        self.board.tell(&[record(id(n + EXECUTORS), port.address(), READY)]);
+        Server::on(port, listener.unwrap(), self.plan.denial)
     }
 
     fn questions_since(&self, since: Instant) -> usize {
--- a/crates/badgerwind-cli/tests/platform/peers.rs
+++ b/crates/badgerwind-cli/tests/platform/peers.rs
@@ -3,6 +3,7 @@
 use crate::rig::*;
 use badgerwind_standins::platform::executor::well;
 use badgerwind_standins::platform::web::Ask;
+use badgerwind_standins::reserved::unused_address;
 use serde_json::json;
 use std::net::UdpSocket;
 use std::time::Duration;
@@ -14,8 +15,7 @@
     let peer = UdpSocket::bind("127.0.0.1:0").unwrap();
     peer.set_read_timeout(Some(Duration::from_secs(20))).unwrap();
     let stranger = UdpSocket::bind("127.0.0.1:0").unwrap();
-    // A port that was free a moment ago; the front end binds it next.
-    let own = UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let own = unused_address();
     let mut rig = Rig::with(vec![Box::new(well)], |c| {
         c["settings"]["allowed"]["peers"] = json!(true);
         c["settings"]["peersTotal"] = json!(2);
--- a/crates/badgerwind-cli/tests/platform/rig.rs
+++ b/crates/badgerwind-cli/tests/platform/rig.rs
@@ -7,7 +7,7 @@
 use serde_json::Value;
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::{mpsc, Arc, Mutex};
 use std::time::Duration;
@@ -75,7 +75,9 @@
 impl Front {
     /// Starts one.
     pub fn start(config: Value) -> Front {
-        Front::start_by(Command::new(env!("CARGO_BIN_EXE_badgerwind")).arg("platform"), config)
+        let level = std::env::var("BADGERWIND_TEST_LOG").unwrap_or_else(|_| "info".into());
+        let mut command = Command::new(env!("CARGO_BIN_EXE_badgerwind"));
+        Front::start_by(command.args(["platform", "--log", &level]), config)
     }
 
     /// One on a machine that gives it so many descriptors, whatever its configuration says.
@@ -101,7 +103,14 @@
                 }
             }
         });
-        let address = told.recv_timeout(Duration::from_secs(20)).expect("it says where it serves");
+        let address = match told.recv_timeout(Duration::from_secs(20)) {
+            Ok(address) => address,
+            // At once where it has ended: nothing more can come of its log then.
+            Err(e) => {
+                let _ = (child.kill(), child.wait()); // it may have ended
+                panic!("the front end does not serve, {e}:\n{}", log.lock().unwrap().join("\n"));
+            }
+        };
         Front { address, config, child, log, path, _folder: folder }
     }
 
@@ -197,5 +206,29 @@
 impl Drop for Front {
     fn drop(&mut self) {
         let _ = (self.child.kill(), self.child.wait()); // it may have ended
+        if std::thread::panicking() {
+            keep(&format!("front-end-{}.log", self.child.id()), &self.lines().join("\n"));
+        }
+    }
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        for (n, executor) in self.executors.iter().enumerate() {
+            let lines: Vec<String> = executor.seen().iter().map(|s| format!("{s:?}")).collect();
+            keep(&format!("front-end-{}-executor-{n}.log", self.pid()), &lines.join("\n"));
+        }
+    }
+}
+
+/// Leaves what a test that fails has seen in a file, and names it.
+fn keep(name: &str, text: &str) {
+    let path = Path::new(env!("CARGO_TARGET_TMPDIR")).join(name);
+    match std::fs::write(&path, text) {
+        Ok(()) => eprintln!("kept: {}", path.display()),
+        Err(e) => eprintln!("{} cannot be kept: {e}", path.display()),
     }
 }
--- a/crates/badgerwind-cli/tests/rig/mod.rs
+++ b/crates/badgerwind-cli/tests/rig/mod.rs
@@ -1,6 +1,8 @@
 //! A gateway in this process with stand-ins around it, or with peers played by hand.
 #![allow(dead_code)] // each test file uses its part
 
+pub mod process;
+
 use badgerwind_check::{Line, What};
 use badgerwind_cli::send::{post, Message};
 use badgerwind_config::parts::compose;
@@ -17,6 +19,7 @@
 use badgerwind_standins::record::Recorder;
 use badgerwind_standins::{list, runner};
 use badgerwind_webhook::{Key, KeyKind, KeyRing, RingKey};
+use process::Process;
 use smol::net::TcpListener;
 use std::net::SocketAddr;
 use std::path::Path;
@@ -115,34 +118,27 @@
     tasks: Vec<smol::Task<()>>,
 }
 
-/// A front end's process, which dies with its handle.
-struct Front(std::process::Child);
-
-impl Drop for Front {
-    fn drop(&mut self) {
-        self.0.kill().unwrap();
-        self.0.wait().unwrap();
-    }
-}
+/// A front end's process.
+struct Front(Process);
 
 impl Front {
     /// Starts it; where it listens for webhooks and for its figures.
     async fn start(folder: &Path, text: &str) -> (Front, SocketAddr, SocketAddr) {
         let (file, ready) = (folder.join("rig.xml"), folder.join("ready.json"));
         std::fs::write(&file, text).unwrap();
-        let none = std::process::Stdio::null;
         let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_badgerwind"));
         command.arg("serve").arg("--settings").arg(&file).arg("--ready-file").arg(&ready);
-        let child = Front(command.stdout(none()).stderr(none()).spawn().unwrap());
+        let mut process = Process::start("front-end", &mut command);
         for _ in 0..2_000 {
             if let Ok(text) = std::fs::read_to_string(&ready) {
                 let value: serde_json::Value = serde_json::from_str(&text).unwrap();
                 let at = |name: &str| value[name].as_str().unwrap().parse().unwrap();
-                return (child, at("webhook"), at("metrics"));
+                return (Front(process), at("webhook"), at("metrics"));
             }
+            process.assert_runs();
             smol::Timer::after(Duration::from_millis(5)).await;
         }
-        panic!("the front end's process does not serve");
+        panic!("the front end's process does not serve:\n{}", process.logged());
     }
 }
 
@@ -321,14 +317,19 @@
     }
 
     /// Waits until something holds; a bound that only a hang reaches.
-    pub async fn until(&self, what: &str, mut holds: impl AsyncFnMut() -> bool) {
+    pub async fn until(&self, what: &str, holds: impl AsyncFnMut() -> bool) {
+        assert!(self.comes(holds).await, "it never came that {what}");
+    }
+
+    /// Whether something comes to hold within that bound.
+    pub async fn comes(&self, mut holds: impl AsyncFnMut() -> bool) -> bool {
         for _ in 0..2_000 {
             if holds().await {
-                return;
+                return true;
             }
             smol::Timer::after(Duration::from_millis(5)).await;
         }
-        panic!("it never came that {what}");
+        false
     }
 
     pub async fn get(&self, path: &str) -> (u16, String) {
--- a/crates/badgerwind-cli/tests/rig/truth.rs
+++ b/crates/badgerwind-cli/tests/rig/truth.rs
@@ -1,7 +1,9 @@
 //! Whether front ends tell the truth about the version that they run, judged by their behaviour alone.
 
+use super::rig::process::Process;
 use super::rig::*;
 use badgerwind_config::Kind;
+use badgerwind_standins::reserved::ReservedPort;
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -28,11 +30,13 @@
 
 /// Waits until a version runs, by the front end's word.
 pub async fn until_running(rig: &Rig, kind: Kind, version: u64) {
-    rig.until("the version runs", async || rig.running(kind).await == Some(version)).await;
+    if !rig.comes(async || rig.running(kind).await == Some(version)).await {
+        panic!("version {version} of {kind:?} does not run: {:?}", rig.config().await);
+    }
 }
 
 /// The control service as a process, which dies with its handle.
-pub struct Service(std::process::Child);
+pub struct Service(Process);
 
 impl Service {
     pub fn start(folder: &Path, at: SocketAddr) -> Service {
@@ -40,29 +44,27 @@
             .map(str::to_owned);
         let rules = ["--first", "1", "--settle-ms", "0", "--most-rejected", "1", "--most-worse", "1"];
         let mut command = std::process::Command::new(env!("CARGO_BIN_EXE_badgerwind"));
-        let none = std::process::Stdio::null;
-        Service(command.args(args).args(rules).stdout(none()).stderr(none()).spawn().unwrap())
+        Service(Process::start("control", command.args(args).args(rules)))
+    }
+
+    /// Fails the test where the service has ended by itself.
+    pub fn assert_runs(&mut self) {
+        self.0.assert_runs();
     }
+
     #[allow(dead_code)] // benches alone look at it
     pub fn id(&self) -> u32 {
         self.0.id()
     }
 }
 
-impl Drop for Service {
-    fn drop(&mut self) {
-        self.0.kill().unwrap();
-        self.0.wait().unwrap();
-    }
-}
-
 /// Runs so many front ends, some of them processes of their own, through so many versions, every third of which cannot be, while the control service is
 /// killed so many times. Panics at the first word that is not true; returns how many were checked. The number of
 /// versions must not be a multiple of three: the last one is good.
 pub async fn check(fronts: usize, processes: usize, versions: u64, kills: u64) -> usize {
     let dir = tempfile::tempdir().unwrap();
-    let (listener, at) = socket().await;
-    drop(listener);
+    let port = ReservedPort::reserve().unwrap();
+    let at = port.address();
     let first = Rig::start(Plan { control: Some(("f0".into(), vec![at])), ..Plan::default() }).await;
     let mut rigs = vec![first];
     for n in 1..fronts {
@@ -77,7 +79,7 @@
         rigs.push(Rig::start(plan).await);
     }
     std::fs::create_dir_all(dir.path().join("routes")).unwrap();
-    let (mut service, mut checked, mut good) = (None, 0, 0);
+    let (mut service, mut checked, mut good) = (None::<Service>, 0, 0);
     // The last one is good: one that is turned down leaves each with the last good one that it was offered.
     for version in 1..=versions {
         if version % (versions / kills).max(1) == 1 {
@@ -85,6 +87,7 @@
             drop(service.take());
             service = Some(Service::start(dir.path(), at));
         }
+        service.iter_mut().for_each(Service::assert_runs);
         let bad = version % 3 == 0;
         let text =
             if bad { routes(version).replace("class=\"lodge\"", "class=\"gone\"") } else { routes(version) };
@@ -104,6 +107,7 @@
         }
     }
     for rig in &rigs {
+        service.iter_mut().for_each(Service::assert_runs);
         until_running(rig, Kind::Routes, good).await;
         assert_eq!(behaves(rig, good..=good).await, [good]);
     }
--- a/crates/badgerwind-cli/tests/scale_processes.rs
+++ b/crates/badgerwind-cli/tests/scale_processes.rs
@@ -7,6 +7,7 @@
 use badgerwind_scale::rows::members::{Fleet as HollowMembers, ENVELOPE};
 use badgerwind_scale::rows::network::{Conditions, SECOND};
 use badgerwind_scale::rows::zones::Fleet as HollowZones;
+use badgerwind_standins::reserved::unused_address;
 use rig::{Plan, Rig};
 use std::net::{SocketAddr, UdpSocket};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -41,10 +42,7 @@
 
 impl Relays {
     fn start(members: usize) -> Relays {
-        let free = || UdpSocket::bind("127.0.0.2:0").unwrap();
-        let sockets: Vec<UdpSocket> = (0..members).map(|_| free()).collect();
-        let listen: Vec<SocketAddr> = sockets.iter().map(|s| s.local_addr().unwrap()).collect();
-        drop(sockets);
+        let listen: Vec<SocketAddr> = (0..members).map(|_| unused_address()).collect();
         let relays: Vec<UdpSocket> = (0..members).map(|_| UdpSocket::bind("127.0.0.1:0").unwrap()).collect();
         let known = relays.iter().map(|s| s.local_addr().unwrap()).collect();
         let carried = Arc::new((0..members).map(|_| Carried::default()).collect::<Vec<_>>());
--- a/crates/badgerwind-cli/tests/stories.rs
+++ b/crates/badgerwind-cli/tests/stories.rs
@@ -8,6 +8,7 @@
 use badgerwind_http::{Conn, Limits, Response};
 use badgerwind_protocol::list::State;
 use badgerwind_standins::model::Fault;
+use badgerwind_standins::reserved::unused_address;
 use badgerwind_standins::runner::FaultCommand;
 use badgerwind_webhook::{Key, KeyKind};
 use futures_lite::future::zip;
@@ -407,8 +408,7 @@
 #[test]
 fn front_ends_hear_each_other_and_nobody_without_their_key() {
     smol::block_on(async {
-        let port = || std::net::UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
-        let (a, b) = (port(), port());
+        let (a, b) = (unused_address(), unused_address());
         let peers = |number: u32, listen, other, address| {
             vec![
                 ("front-ends=\"1\" number=\"0\"", format!("front-ends=\"2\" number=\"{number}\"")),
--- a/crates/badgerwind-standins/src/lib.rs
+++ b/crates/badgerwind-standins/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod platform;
 pub mod record;
 pub mod relay;
+pub mod reserved;
 pub mod runner;
 pub mod senders;
 pub mod share;
--- a/crates/badgerwind-standins/src/platform/board.rs
+++ b/crates/badgerwind-standins/src/platform/board.rs
@@ -1,5 +1,6 @@
 //! A notice board that keeps its events and can fall silent, break off or repeat itself.
 
+use crate::reserved::ReservedPort;
 use std::io::{self, Read, Write};
 use std::net::{SocketAddr, SocketAddrV4, TcpListener, TcpStream};
 use std::sync::{Arc, Mutex, PoisonError};
@@ -68,8 +69,8 @@
 impl Board {
     /// Starts one whose next event has this number.
     pub fn start(first: u64) -> io::Result<Board> {
-        let listener = TcpListener::bind("127.0.0.1:0")?;
-        let address = listener.local_addr()?;
+        let port = ReservedPort::reserve()?;
+        let (listener, address) = (port.listen()?, port.address());
         let (events, asked) = (Vec::new(), Vec::new());
         let state = State {
             refuses: false,
@@ -85,7 +86,7 @@
         };
         let state = Arc::new(Mutex::new(state));
         let own = state.clone();
-        std::thread::spawn(move || listen(listener, &own));
+        std::thread::spawn(move || listen(&port, listener, &own));
         Ok(Board { address, state })
     }
 
@@ -145,15 +146,14 @@
 const POLL: Duration = Duration::from_millis(5);
 
 /// Accepts connections, on the same address again after a time in which it refused them.
-fn listen(listener: TcpListener, state: &Arc<Mutex<State>>) {
+fn listen(port: &ReservedPort, listener: TcpListener, state: &Arc<Mutex<State>>) {
     let lock = || state.lock().unwrap_or_else(PoisonError::into_inner);
-    let Ok(address) = listener.local_addr() else { return };
     let mut listener = listener.set_nonblocking(true).is_ok().then_some(listener);
     loop {
         if lock().refuses {
             listener = None;
         } else if listener.is_none() {
-            listener = TcpListener::bind(address).ok().filter(|l| l.set_nonblocking(true).is_ok());
+            listener = port.listen().ok().filter(|l| l.set_nonblocking(true).is_ok());
         }
         match listener.as_ref().map(TcpListener::accept) {
             Some(Ok((stream, _))) if stream.set_nonblocking(false).is_ok() => {
--- a/crates/badgerwind-standins/src/platform/executor.rs
+++ b/crates/badgerwind-standins/src/platform/executor.rs
@@ -1,6 +1,7 @@
 //! An executor that does what its test says.
 
 use super::LONG;
+use crate::reserved::ReservedPort;
 use serde_json::Value;
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufReader, Write};
@@ -87,6 +88,8 @@
     seen: Arc<Mutex<Vec<Seen>>>,
     ways: Arc<Ways>,
     stopped: Arc<AtomicBool>,
+    /// Keeps its address from others once it has stopped.
+    _port: Option<ReservedPort>,
 }
 
 impl Executor {
@@ -102,7 +105,9 @@
         table: usize,
         script: impl Fn(&Seen) -> Vec<Do> + Send + Sync + 'static,
     ) -> io::Result<Executor> {
-        Executor::on(TcpListener::bind("127.0.0.1:0")?, table, script)
+        let port = ReservedPort::reserve()?;
+        let executor = Executor::on(port.listen()?, table, script)?;
+        Ok(Executor { _port: Some(port), ..executor })
     }
 
     /// The same behind a listener that stands already.
@@ -139,7 +144,7 @@
                 });
             }
         });
-        Ok(Executor { address, doors, seen, ways, stopped })
+        Ok(Executor { address, doors, seen, ways, stopped, _port: None })
     }
 
     /// Ends it as the death of its process would: connections end, and new ones are refused.
