A restarted front end hears of drains before it sends anything

Cause: a start went by the list on disk until its first answer; records and log place the send 13 ms before that answer, which had the drain in it. Mended: the first question comes first; the list on disk stands in where the service refuses, fails or is silent for 1 s. Calls are held until then. Test: the service's answer is held until the call is held or has arrived; before, it arrived at the drained runner (1 where 0 is due).

--- /dev/null
+++ b/crates/badgerwind-cli/tests/restarts.rs
@@ -0,0 +1,97 @@
+//! Front ends that start again while the list of runners changes.
+
+mod rig;
+
+use badgerwind_check::What;
+use badgerwind_cli::send::{post, Message};
+use badgerwind_http::{Conn, Limits, Response};
+use badgerwind_protocol::list::{List, Runner, State};
+use badgerwind_standins::reserved::unused_address;
+use futures_lite::future::zip;
+use rig::*;
+use smol::channel::Receiver;
+use smol::net::TcpListener;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+/// A list service that answers its first question once it is told to, and nothing after it.
+async fn serve_when_told(listener: TcpListener, list: List, told: Receiver<()>) {
+    let (stream, _) = listener.accept().await.unwrap();
+    let mut conn = Conn::new(stream, Arc::new(Limits::default()));
+    let _question = conn.head().await.unwrap();
+    told.recv().await.unwrap();
+    let response = Response::new(200, "application/json", serde_json::to_vec(&list).unwrap());
+    conn.respond(&response, true).await.unwrap();
+    std::future::pending::<()>().await;
+}
+
+/// Sends a call until the front end takes it.
+async fn call(to: SocketAddr, key: &badgerwind_webhook::Key) -> u16 {
+    loop {
+        let body = br#"{"work_us": 1000, "mean_us": 1000}"#.to_vec();
+        let deadline = Duration::from_secs(10);
+        let message = Message { id: "m1", path: CHECK, deadline, retry: false, callback: None, body };
+        if let Ok((head, _)) = post(to, key, message).await {
+            return head.status;
+        }
+        smol::Timer::after(Duration::from_millis(5)).await;
+    }
+}
+
+/// A restarted front end must not send to a runner that began to drain while it was down: its list on disk is from before.
+#[test]
+fn a_restart_hears_of_drains_before_it_sends_anything() {
+    smol::block_on(async {
+        let first = Rig::start(Plan::default()).await;
+        let (drained, ready) = (first.runners[0].clone(), first.runners[1].clone());
+        let (listener, list_address) = socket().await;
+        let runners = vec![Runner { state: State::Draining, ..drained.clone() }, ready];
+        let (tell, told) = smol::channel::bounded(1);
+        let _service =
+            smol::spawn(serve_when_told(listener, List { version: 4, whole: true, runners }, told));
+        let (webhook, metrics) = (unused_address(), unused_address());
+        let edits = vec![
+            ("<webhook listen=\"127.0.0.1:0\"", format!("<webhook listen=\"{webhook}\"")),
+            ("<metrics listen=\"127.0.0.1:0\"", format!("<metrics listen=\"{metrics}\"")),
+        ];
+        let (runners, _, keys, recorder) = first.beside().unwrap();
+        let beside = Some((runners, list_address, keys, recorder));
+        let cached = Some(vec![drained.clone()]);
+        let restarted = Rig::start(Plan { runners: 0, edits, beside, cached, ..Plan::default() });
+        let ((_restarted, status), ()) = zip(zip(restarted, call(webhook, &first.key)), async {
+            // With the list on disk alone it would be at the drained runner by now.
+            first
+                .until("the call is held, or has arrived", async || {
+                    let held = figure(metrics, "badgerwind_held").await == Some(1);
+                    held || first.arrived() > 0
+                })
+                .await;
+            tell.send(()).await.unwrap();
+        })
+        .await;
+        assert_eq!(status, 200);
+        let reached = |runner: u32| {
+            let arrived = |what: &What| matches!(what, What::Arrived { runner: r, .. } if *r == runner);
+            first.lines().iter().filter(|l| arrived(&l.what)).count()
+        };
+        assert_eq!((reached(drained.id), first.arrived()), (0, 1));
+    });
+}
+
+/// A figure of the front end that shows its figures there.
+async fn figure(at: SocketAddr, name: &str) -> Option<u64> {
+    let time = Duration::from_secs(5);
+    let bounds =
+        badgerwind_http::PoolBounds { most: 1, connect_time: time, idle_time: time, body_bytes: 1 << 20 };
+    let request = badgerwind_http::Exchange {
+        method: "GET",
+        target: "/metrics".into(),
+        headers: vec![],
+        body: Arc::from(&b""[..]),
+    };
+    let (_, body) = badgerwind_http::Pool::new(at, bounds).exchange(&request).await.ok()?;
+    let text = String::from_utf8(body).unwrap();
+    let line = text.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(' '))?;
+    line.parse().ok()
+}
--- a/crates/badgerwind-gateway/src/list.rs
+++ b/crates/badgerwind-gateway/src/list.rs
@@ -15,6 +15,7 @@
 use std::collections::BTreeMap;
 use std::io::Write;
 use std::path::{Path, PathBuf};
+use std::pin::pin;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::Duration;
 
@@ -32,23 +33,16 @@
 
 /// How much longer than the service may hold a question open an answer may take.
 const GRACE: Duration = Duration::from_secs(2);
+/// How long a start waits for the service before the last list on disk stands in for it: who drained meanwhile is not in it.
+const FIRST_ANSWER: Duration = Duration::from_secs(1);
 /// Bytes of a list.
 const MOST_BYTES: usize = 8 * 1024 * 1024;
 
 impl Lister {
-    /// Begins with the last list, then follows the service for ever.
+    /// Follows the service for ever. The last list stands in for it where it does not answer at the start.
     pub(crate) async fn run(self) {
         let mut known: BTreeMap<u32, Runner> = BTreeMap::new();
-        let cached = self.cache.as_deref().and_then(|path| match read_cache(path) {
-            Ok(list) => list,
-            Err(text) => {
-                tracing::warn!(file = %path.display(), "the last runner list is passed over: {text}");
-                None
-            }
-        });
-        if let Some(list) = cached {
-            self.take(&mut known, list, ListKind::Cached).await;
-        }
+        let mut cached = self.cached();
         let s = &self.settings.list;
         let bounds = PoolBounds {
             most: 2,
@@ -60,8 +54,8 @@
         let asked = self.settings.router.discovery == Discovery::Ask;
         let (mut watching, mut version, mut failing) = (!asked, None, false);
         loop {
-            if !watching {
-                // Only what the module asks for.
+            if !watching && cached.is_none() {
+                // Only what the module asks for, beside the first question that a list on disk is held against.
                 match self.calls.recv().await {
                     Ok(ListCall::Watch(on)) => watching = on,
                     Ok(ListCall::Fetch) => version = None,
@@ -71,25 +65,23 @@
                     continue;
                 }
             }
-            let wait = s.wait.as_millis() as u64;
-            let request = Exchange {
-                method: "GET",
-                target: target(self.settings.router.my_number, version, wait),
-                headers: vec![],
-                body: Arc::from(&b""[..]),
+            let mut answer = pin!(self.ask(&pool, version));
+            let first = async {
+                Timer::after(FIRST_ANSWER).await;
+                None
             };
-            let late = async {
-                Timer::after(s.wait + GRACE).await;
-                Err("no answer in time".to_owned())
+            let in_time = match cached.is_some() {
+                true => async { Some((&mut answer).await) }.or(first).await,
+                false => None,
             };
-            let ask = async {
-                let (head, body) = pool.exchange(&request).await.map_err(|e| e.to_string())?;
-                match head.status {
-                    200 => List::parse(&body),
-                    status => Err(format!("status {status}")),
-                }
+            if let (Some(list), None | Some(Err(_))) = (cached.take(), &in_time) {
+                self.take(&mut known, list, ListKind::Cached).await;
+            }
+            let answer = match in_time {
+                Some(answer) => answer,
+                None => answer.await,
             };
-            match ask.or(late).await {
+            match answer {
                 Ok(list) => {
                     if failing {
                         tracing::info!(version = list.version, "the list service answers again");
@@ -118,6 +110,38 @@
         }
     }
 
+    /// The last list on disk.
+    fn cached(&self) -> Option<List> {
+        let path = self.cache.as_deref()?;
+        read_cache(path).unwrap_or_else(|text| {
+            tracing::warn!(file = %path.display(), "the last runner list is passed over: {text}");
+            None
+        })
+    }
+
+    /// Asks for what changed after a version, or for the whole list.
+    async fn ask(&self, pool: &Pool, version: Option<u64>) -> Result<List, String> {
+        let wait = self.settings.list.wait;
+        let request = Exchange {
+            method: "GET",
+            target: target(self.settings.router.my_number, version, wait.as_millis() as u64),
+            headers: vec![],
+            body: Arc::from(&b""[..]),
+        };
+        let late = async {
+            Timer::after(wait + GRACE).await;
+            Err("no answer in time".to_owned())
+        };
+        let ask = async {
+            let (head, body) = pool.exchange(&request).await.map_err(|e| e.to_string())?;
+            match head.status {
+                200 => List::parse(&body),
+                status => Err(format!("status {status}")),
+            }
+        };
+        ask.or(late).await
+    }
+
     async fn take(&self, known: &mut BTreeMap<u32, Runner>, mut list: List, kind: ListKind) {
         if let Some(filter) = self.filter {
             filter(&mut list);
