--- a/crates/badgerwind-cli/src/day/fleet.rs
+++ b/crates/badgerwind-cli/src/day/fleet.rs
@@ -109,6 +109,8 @@
 impl Fleet {
     /// Starts all of it; returns once every process serves.
     pub fn start(world: World, folder: &Path, programs: Programs) -> Result<Fleet, Stop> {
+        // Settings name files from their own place, so that a folder is named in full.
+        let folder = &std::path::absolute(folder).map_err(|e| failed("cannot find the folder", e))?;
         // Ports differ from run to run: two days may run side by side.
         let mut rng = StdRng::seed_from_u64(now());
         let file = folder.join("record-day.jsonl");
