Tests of control serve and register members tell what an ended process logged

The loop that waits for the ready file of control serve ran for ever where the service had ended; a member of the rig that ended was told by its status alone. Both name what was logged.

--- a/crates/badgerwind-cli/tests/program.rs
+++ b/crates/badgerwind-cli/tests/program.rs
@@ -1,5 +1,10 @@
 //! The program as its users run it.
 
+#[allow(dead_code)] // a test program uses its part
+#[path = "rig/process.rs"]
+mod process;
+
+use process::Process;
 use std::path::{Path, PathBuf};
 use std::process::{Command, Output};
 
@@ -170,23 +175,19 @@
 
     let ready = folder.path().join("ready");
     let args = ["control", "serve", "v", "--ready-file", "ready"];
-    let mut service = Command::new(env!("CARGO_BIN_EXE_badgerwind"))
-        .current_dir(folder.path())
-        .args(args)
-        .stderr(std::process::Stdio::null())
-        .spawn()
-        .unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_badgerwind"));
+    let mut service = Process::start("control", command.current_dir(folder.path()).args(args));
     let address = loop {
         if let Ok(text) = std::fs::read_to_string(&ready) {
             let value: serde_json::Value = serde_json::from_str(&text).unwrap();
             break value["address"].as_str().unwrap().to_owned();
         }
+        service.assert_runs();
         std::thread::sleep(std::time::Duration::from_millis(5));
     };
     let (code, out, told) = run(&["status", "--at", &address]);
     let unknown = run(&["pin", "--at", &address, "nobody"]);
-    service.kill().unwrap();
-    service.wait().unwrap();
+    drop(service);
     assert_eq!(code, Some(0), "{told}");
     assert!(
         out.contains("limits: newest 3, 3 offered to the first\n") && out.contains("classes: newest none\n"),
--- a/crates/badgerwind-rig/src/day.rs
+++ b/crates/badgerwind-rig/src/day.rs
@@ -90,6 +90,8 @@
     arguments: Vec<String>,
     /// Members that ended though nobody killed them.
     pub wrong: Vec<String>,
+    /// Where each logs in its present incarnation.
+    logs: Vec<PathBuf>,
 }
 
 impl Fleet {
@@ -185,6 +187,7 @@
             voters,
             starts: 0,
             arguments: Vec::new(),
+            logs: vec![PathBuf::new(); members],
             wrong: Vec::new(),
         })
     }
@@ -195,8 +198,9 @@
         }
         self.starts += 1;
         let file = |name: String| self.folder.join(name);
-        let log = file(format!("member-{n}-{}.log", self.starts));
-        let log = File::create(&log).map_err(|e| RigError::File(log.display().to_string(), e))?;
+        self.logs[n] = file(format!("member-{n}-{}.log", self.starts));
+        let log = &self.logs[n];
+        let log = File::create(log).map_err(|e| RigError::File(log.display().to_string(), e))?;
         let mut command = Command::new(&self.program);
         command.arg("member").args(["--number", &n.to_string(), "--listen", &self.listen[n].to_string()]);
         command.arg("--trial").arg(file("trial.json".into())).arg("--key").arg(file("key".into()));
@@ -242,7 +246,9 @@
     fn look(&mut self) {
         for (n, p) in self.members.iter_mut().enumerate() {
             if let Some(status) = p.as_mut().and_then(|p| p.0.try_wait().ok().flatten()) {
-                self.wrong.push(format!("member {n} ended by itself: {status}"));
+                let logged = std::fs::read_to_string(&self.logs[n]).unwrap_or_default();
+                let last = logged.lines().last().unwrap_or("it logged nothing");
+                self.wrong.push(format!("member {n} ended by itself: {status}: {last}"));
                 *p = None;
             }
         }
