Answers go out before new messages are looked at

Evidence: a debug line where an answer goes out. The engine's own batches took at most 0.2 s. Cause: the tasks of connections run in the order in which they were woken, so that what is due stood behind the reading and checking of what had just come. Mended: answers that wait are counted, and a new message lets the others go ahead while there are any, for eight turns at the most.

--- a/crates/badgerwind-gateway/src/front.rs
+++ b/crates/badgerwind-gateway/src/front.rs
@@ -6,6 +6,7 @@
 mod told;
 
 use crate::answers::{remembers, Kept};
+use crate::answers_due::{AnswerDue, AnswersDue};
 use crate::callbacks::Owed;
 use crate::clock::{unix_micros, unix_seconds, Clock};
 use crate::dispatch::{Content, Ended, Input, Origin};
@@ -44,8 +45,16 @@
 /// The id under which logs and runners know the call.
 const REQUEST: &str = "badgerwind-request";
 
-/// An answer, where a streamed one goes on, and when it was given.
-type Told = (Arc<Response>, Option<Receiver<Vec<u8>>>, Time);
+/// An answer on its way to its connection's task.
+struct Told {
+    response: Arc<Response>,
+    /// The rest of a streamed one.
+    rest: Option<Receiver<Vec<u8>>>,
+    /// When it was given.
+    given: Time,
+    _due: AnswerDue,
+}
+
 type Memory = Replay<Arc<Response>, Sender<Arc<Response>>>;
 
 /// What a front goes by, changed as a whole.
@@ -76,6 +85,8 @@
     /// Callbacks owed.
     pub owed: Arc<AtomicUsize>,
     pub replay: Mutex<Memory>,
+    /// Answers that wait to be written.
+    pub answers_due: AnswersDue,
     /// How far this front end runs behind.
     pub lag: Arc<Mutex<Lag>>,
     /// Budgets for failed signatures.
@@ -216,7 +227,8 @@
             let body: Arc<[u8]> = body.to_string().into_bytes().into();
             smol::spawn(owed.post(format!("{}_answer", self.webhook_id), body)).detach();
         }
-        let _ = self.reply.try_send((response, rest, front.clock.now()));
+        let (given, _due) = (front.clock.now(), front.answers_due.begin());
+        let _ = self.reply.try_send(Told { response, rest, given, _due });
     }
 }
 
@@ -387,6 +399,7 @@
                 Err(e) => return self.refuse_wire(conn, e).await,
             };
             let began = self.clock.now();
+            self.answers_due.let_out().await;
             // One message is judged by one set of rules, whatever changes meanwhile.
             let rules = self.rules();
             // What needs no body is judged before one is read.
@@ -586,13 +599,15 @@
                     let _ = self.inputs.send(Input::CallerLeft { id, keeps }).await;
                     return Handled::Gone;
                 };
-                if let Ok((_, _, given)) = &got {
+                if let Ok(Told { given, .. }) = &got {
                     let now = self.clock.now();
-                    self.lag().see(now, now.saturating_sub(*given));
+                    let waited = now.saturating_sub(*given);
+                    self.lag().see(now, waited);
+                    tracing::debug!(request = %id, waited_us = waited, "its answer goes out");
                 }
                 match got {
-                    Ok((response, Some(rest), _)) => Handled::Stream(response, rest),
-                    Ok((response, None, _)) => Handled::Answer(response),
+                    Ok(Told { response, rest: Some(rest), .. }) => Handled::Stream(response, rest),
+                    Ok(Told { response, rest: None, .. }) => Handled::Answer(response),
                     Err(_) => {
                         let text = "the daemon could not answer; it may have run";
                         let away = Away { harmless: false, ..away(502, "failed", text) };
--- a/crates/badgerwind-gateway/src/lib.rs
+++ b/crates/badgerwind-gateway/src/lib.rs
@@ -5,6 +5,7 @@
 #![warn(missing_docs)]
 
 mod answers;
+mod answers_due;
 mod callbacks;
 #[doc(hidden)] // the engine's
 pub mod clock;
--- a/crates/badgerwind-gateway/src/serve.rs
+++ b/crates/badgerwind-gateway/src/serve.rs
@@ -1,5 +1,6 @@
 //! The daemon put together: listeners, engine, clients, and an orderly stop.
 
+use crate::answers_due::AnswersDue;
 use crate::clock::Clock;
 use crate::control::{Follower, Following};
 use crate::dispatch::Dispatch;
@@ -261,6 +262,7 @@
         module: 0,
     };
     let front = Arc::new(Front {
+        answers_due: AnswersDue::default(),
         rules: RwLock::new(Arc::new(rules)),
         recent: Mutex::default(),
         counts: Counts::default(),
