Calls and orders are looked at again when their connection to a runner is up

Cause: badgerwind serve wrote what waited for a connection, for up to the connect time, without asking again whether its runner drains, is gone or has moved. Mended: asked when the connection is up, before the first byte. Pools of runners that have gone are dropped as well: they were kept for ever. Whether this caused each break seen under load is suspected, not shown.

--- a/crates/badgerwind-gateway/src/runners.rs
+++ b/crates/badgerwind-gateway/src/runners.rs
@@ -13,7 +13,7 @@
 use badgerwind_webhook::{sign, Key};
 use futures_lite::FutureExt;
 use smol::Timer;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::sync::{Arc, Mutex, PoisonError, RwLock};
 use std::time::Duration;
 
@@ -31,9 +31,19 @@
     key: RwLock<Key>,
     tls: RwLock<Option<ClientTls>>,
     clock: crate::clock::Clock,
-    pools: Mutex<HashMap<WorkerId, Arc<Pool>>>,
+    places: Mutex<HashMap<WorkerId, Place>>,
 }
 
+/// Where a runner listens.
+struct Place {
+    pool: Arc<Pool>,
+    /// Since when it takes nothing new.
+    leaving: Option<Time>,
+}
+
+/// This much of a drain's grace is left unused, in microseconds: the news of the drain and a first byte cross.
+const MARGIN: Span = 5_000;
+
 /// Pieces of a streamed answer that wait for a slow sender; beyond them its runner waits.
 const PIECES: usize = 16;
 
@@ -59,7 +69,7 @@
         clock: crate::clock::Clock,
     ) -> Self {
         let (settings, key, tls) = (RwLock::new(settings), RwLock::new(key), RwLock::new(tls));
-        Runners { settings, key, tls, clock, pools: Mutex::default() }
+        Runners { settings, key, tls, clock, places: Mutex::default() }
     }
 
     /// Other settings, another key and other certificates from now on; calls already taken keep the settings that
@@ -68,10 +78,10 @@
         let bounds = bounds(&settings);
         let mut now = self.tls.write().unwrap_or_else(PoisonError::into_inner);
         let under_tls = now.is_some() || tls.is_some();
-        for pool in self.pools().values() {
-            pool.set_bounds(bounds);
+        for place in self.places().values() {
+            place.pool.set_bounds(bounds);
             if under_tls {
-                pool.set_tls(tls.clone());
+                place.pool.set_tls(tls.clone());
             }
         }
         *now = tls;
@@ -84,29 +94,49 @@
         self.settings.read().unwrap_or_else(PoisonError::into_inner).clone()
     }
 
-    fn pools(&self) -> std::sync::MutexGuard<'_, HashMap<WorkerId, Arc<Pool>>> {
-        self.pools.lock().unwrap_or_else(PoisonError::into_inner)
+    fn places(&self) -> std::sync::MutexGuard<'_, HashMap<WorkerId, Place>> {
+        self.places.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Takes in where runners listen. One that is gone keeps its place: attempts to it may still be out.
+    /// Takes in where runners listen, and which of them leave. What is out at one that is gone keeps its connections.
     pub(crate) fn listed(&self, list: &list::List) {
-        let bounds = bounds(&self.settings());
+        let (now, bounds) = (self.clock.now(), bounds(&self.settings()));
         let tls = self.tls.read().unwrap_or_else(PoisonError::into_inner);
-        let mut pools = self.pools();
+        let mut places = self.places();
+        if list.whole {
+            let named: HashSet<WorkerId> = list.runners.iter().map(|r| r.id).collect();
+            places.retain(|id, _| named.contains(id));
+        }
         for r in &list.runners {
-            let known = pools.get(&r.id).is_some_and(|p| p.address() == r.address);
-            if !known {
+            if r.state == list::State::Gone {
+                places.remove(&r.id);
+                continue;
+            }
+            let known = places.remove(&r.id).filter(|p| p.pool.address() == r.address);
+            let mut place = known.unwrap_or_else(|| {
                 let pool = Pool::new(r.address, bounds);
                 pool.set_tls(tls.clone());
-                pools.insert(r.id, Arc::new(pool));
-            } else if r.state == list::State::Gone {
-                pools[&r.id].close_idle();
-            }
+                Place { pool: Arc::new(pool), leaving: None }
+            });
+            place.leaving = match r.state {
+                list::State::Ready => None,
+                _ => place.leaving.or(Some(now)),
+            };
+            places.insert(r.id, place);
         }
     }
 
     fn pool(&self, worker: WorkerId) -> Option<Arc<Pool>> {
-        self.pools().get(&worker).cloned()
+        self.places().get(&worker).map(|p| p.pool.clone())
+    }
+
+    /// Whether new work may begin at a runner over a connection of this pool. Asked when the first byte can go: while a
+    /// connection came up, the runner may have begun to drain, gone, or moved.
+    fn may_begin(&self, worker: WorkerId, pool: &Arc<Pool>) -> bool {
+        let (now, grace) = (self.clock.now(), self.settings().router.drain_grace);
+        let places = self.places();
+        let place = places.get(&worker).filter(|p| Arc::ptr_eq(&p.pool, pool));
+        place.is_some_and(|p| p.leaving.is_none_or(|since| now + MARGIN <= since + grace))
     }
 
     pub(crate) fn close_idle(&self, worker: WorkerId) {
@@ -167,6 +197,9 @@
             Race::Off(Stop::Off(CallOff::Cancelled)) => return AttemptEnd::plain(Outcome::Cancelled),
             Race::Off(Stop::Off(CallOff::TimedOut)) => return AttemptEnd::plain(Outcome::ConnectFailed),
         };
+        if !self.may_begin(worker, &pool) {
+            return AttemptEnd::plain(Outcome::Moot);
+        }
         let request = self.call(id, attempt, content);
         let streaming = content.settings.router.classes[content.class].streaming;
         let mut call = Box::pin(async {
@@ -265,9 +298,17 @@
     pub(crate) async fn order(&self, worker: WorkerId, function: &str, copies: u32) -> (Outcome, u32) {
         let Some(pool) = self.pool(worker) else { return (Outcome::ConnectFailed, 0) };
         let request = self.post(runner::load_path(function), self.parameters(function, copies));
-        match pool.exchange(&request).await {
+        let ordered = async {
+            let way = pool.way().await?;
+            if copies > 0 && !self.may_begin(worker, &pool) {
+                return Ok(None);
+            }
+            way.send(&request).await?.whole().await.map(Some)
+        };
+        match ordered.await {
             Err(e) => (failed(&e).outcome, 0),
-            Ok((head, body)) => {
+            Ok(None) => (Outcome::Full, 0),
+            Ok(Some((head, body))) => {
                 let stand = serde_json::from_slice(&body).map_or(0, |a: LoadAnswer| a.copies);
                 let outcome = match head.status {
                     200..=299 => Outcome::Ok,
--- a/crates/badgerwind-http/src/client.rs
+++ b/crates/badgerwind-http/src/client.rs
@@ -192,10 +192,7 @@
 
     /// Sends a request and reads the answer whole.
     pub async fn exchange(&self, request: &Exchange) -> Result<(ResponseHead, Vec<u8>), ExchangeError> {
-        let mut answer = self.begin(request).await?;
-        let mut body = Vec::new();
-        while answer.piece(&mut body).await? {}
-        Ok((answer.finish(), body))
+        self.begin(request).await?.whole().await
     }
 
     /// Sends a request and reads the answer's head.
@@ -260,6 +257,13 @@
 }
 
 impl Answer<'_> {
+    /// Reads the answer to its end.
+    pub async fn whole(mut self) -> Result<(ResponseHead, Vec<u8>), ExchangeError> {
+        let mut body = Vec::new();
+        while self.piece(&mut body).await? {}
+        Ok((self.finish(), body))
+    }
+
     /// Reads the next piece of the body into `out`; false once all of it has come.
     pub async fn piece(&mut self, out: &mut Vec<u8>) -> Result<bool, ExchangeError> {
         loop {
