A version that waits behind a slow change is not turned down

Seen: beside heavy load version 1 of Routes and Limits did not run; the front end's report has them rejected with an empty reason. Cause: stage counted from an offer's arrival, also while another change was under way, so that it was turned down untried, and never tried again. Mended: it counts from when the offer was found wanting, and nothing is turned down, nor a tick wanted for it, while a change is under way. Tests: two of the state machine; both failed before (rejected as None where Staged is due; a tick wanted at 1000).

--- a/crates/badgerwind-config/src/client.rs
+++ b/crates/badgerwind-config/src/client.rs
@@ -139,6 +139,7 @@
 #[derive(Debug)]
 struct Offer {
     part: Part,
+    /// Turned down then, unless a change is under way; not before it was found wanting.
     until: Time,
     why: Vec<Problem>,
 }
@@ -252,7 +253,8 @@
     /// When it wants [`Input::Tick`].
     pub fn next_wake(&self) -> Option<Time> {
         let asks = self.lines.values().filter_map(|l| l.ask_at);
-        let stages = self.lines.values().filter_map(|l| l.offer.as_ref().map(|o| o.until));
+        let staged = self.lines.values().filter_map(|l| l.offer.as_ref().map(|o| o.until));
+        let stages = staged.filter(|until| self.change.is_none() && *until < Time::MAX);
         asks.chain(stages).min()
     }
 
@@ -322,8 +324,10 @@
             if self.lines[&kind].ask_at.is_some_and(|at| at <= now) {
                 self.ask(now, kind, out);
             }
+            // What waits behind a change has not been judged against it.
             let late = |l: &mut Line| l.offer.take_if(|o| o.until <= now);
-            if let Some(offer) = self.lines.get_mut(&kind).and_then(late) {
+            let lines = self.lines.get_mut(&kind).filter(|_| self.change.is_none());
+            if let Some(offer) = lines.and_then(late) {
                 let why = status(3, told(&offer.why));
                 self.reject(&offer.part, &why);
                 self.answer(now, kind, Some(why), out);
@@ -348,7 +352,7 @@
             Ok(None) => self.ask(now, kind, out), // what runs, offered again
             Ok(Some(part)) => {
                 if let Some(line) = self.lines.get_mut(&kind) {
-                    line.offer = Some(Offer { part, until: now + self.times.stage, why: Vec::new() });
+                    line.offer = Some(Offer { part, until: Time::MAX, why: Vec::new() });
                 }
                 // A change of the same type that is only being tried gives way to the newer one.
                 if self
--- a/crates/badgerwind-config/tests/machine.rs
+++ b/crates/badgerwind-config/tests/machine.rs
@@ -254,6 +254,36 @@
     assert!(rig.rejected(Kind::Routes).contains("class names \"amend\", which is not declared"));
 }
 
+/// A change that takes longer than an offer may be staged must not turn down what only waits for its turn.
+#[test]
+fn a_good_version_that_waits_behind_a_slow_change_runs_after_it() {
+    let mut rig = Rig::new();
+    rig.offer(Kind::Classes, 1, &both(900), "n1");
+    rig.offer(Kind::Routes, 1, &routes("check-answers"), "n2");
+    rig.now += 5 * TIMES.stage;
+    rig.on(Input::Tick);
+    assert_eq!(rig.rejected(Kind::Routes), "");
+    assert_eq!(rig.phase(Kind::Routes), Some((1, Phase::Staged)));
+    rig.through().through();
+    assert_eq!((rig.running(Kind::Classes), rig.running(Kind::Routes)), (Some(1), Some(1)));
+}
+
+/// The same for one that lacks what the slow change brings. While that is under way the machine wants no tick for it.
+#[test]
+fn a_staged_version_outlasts_the_change_that_brings_what_it_lacks() {
+    let mut rig = Rig::new();
+    rig.offer(Kind::Routes, 1, &routes("new"), "n1");
+    assert_eq!(rig.client.next_wake(), Some(rig.now + TIMES.stage));
+    rig.now += TIMES.stage - 1;
+    rig.offer(Kind::Classes, 1, &classes(&["check-answers", "lodge-return", "new"], 900), "n2");
+    assert_eq!(rig.client.next_wake(), None);
+    rig.now += 5 * TIMES.stage;
+    rig.on(Input::Tick);
+    assert_eq!(rig.rejected(Kind::Routes), "");
+    rig.through().through();
+    assert_eq!((rig.running(Kind::Classes), rig.running(Kind::Routes)), (Some(1), Some(1)));
+}
+
 #[test]
 fn a_newer_version_takes_the_place_of_one_that_is_staged() {
     let mut rig = Rig::new();
