A silent link of the test rig lets go of connections whose callers have left

Seen: beside heavy load four tests of zones fail in both copies, 'it never came' with empty lists. The reason, which the tests show now: 'Too many open files' in the rig itself; the front ends were never asked. Zones did not open late: nobody could look. Cause: a relay that is silent reads nothing, so that a connection given up by its caller stayed with it until the silence ended; and where no descriptor was left it accepted again without a pause, which took the core from all others. Mended: under silence what comes is read and kept, up to 64 KiB, so that an end is seen; it arrives once something passes, as before. A pause after a failed accept.

--- a/crates/badgerwind-cli/tests/zones.rs
+++ b/crates/badgerwind-cli/tests/zones.rs
@@ -155,11 +155,13 @@
         of_zone.filter(|(r, _)| r.zone as usize == zone).for_each(|(_, l)| l.set(link));
     }
 
+    /// The zones by a front end's word, or why it says nothing.
+    async fn ask_zones(&self, n: usize) -> Result<Vec<ZoneHere>, String> {
+        ask_whole(self.front(n).metrics).await.map(|whole| whole.zones.unwrap().zones)
+    }
+
     async fn zones(&self, n: usize) -> Vec<ZoneHere> {
-        match ask_whole(self.front(n).metrics).await {
-            Ok(whole) => whole.zones.unwrap().zones,
-            Err(_) => vec![],
-        }
+        self.ask_zones(n).await.unwrap_or_default()
     }
 
     async fn until(&self, what: &str, fronts: &[usize], holds: impl Fn(&[ZoneHere]) -> bool) {
@@ -167,9 +169,12 @@
         for _ in 0..1200 {
             last.clear();
             for n in fronts {
-                last.insert(*n, self.zones(*n).await);
+                last.insert(*n, self.ask_zones(*n).await);
             }
-            if last.values().all(|z| !z.is_empty() && holds(z)) {
+            let said = |zones: &Result<Vec<ZoneHere>, String>| {
+                zones.as_ref().is_ok_and(|z| !z.is_empty() && holds(z))
+            };
+            if last.values().all(said) {
                 return;
             }
             smol::Timer::after(Duration::from_millis(25)).await;
--- a/crates/badgerwind-standins/src/relay.rs
+++ b/crates/badgerwind-standins/src/relay.rs
@@ -59,7 +59,10 @@
         let task = smol::spawn(async move {
             let mut connections = Vec::new();
             loop {
-                let Ok((near, _)) = listener.accept().await else { continue };
+                let Ok((near, _)) = listener.accept().await else {
+                    smol::Timer::after(ACCEPT_PAUSE).await;
+                    continue;
+                };
                 connections.retain(|c: &smol::Task<()>| !c.is_finished());
                 let links = links.clone();
                 // Dropped unasked, it closes at once: a broken link.
@@ -80,8 +83,14 @@
     }
 }
 
-async fn lead(near: TcpStream, to: SocketAddr, shared: Arc<Mutex<Shared>>) {
-    // Where nothing passes a connection does not come up either; the caller gives up by itself.
+/// Bytes that a silent link keeps of what one side sends, as the sender's own window would; beyond them it reads no more.
+const MOST_KEPT: usize = 64 * 1024;
+/// Pause after a connection could not be accepted, most likely for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+async fn lead(mut near: TcpStream, to: SocketAddr, shared: Arc<Mutex<Shared>>) {
+    // Where nothing passes a connection does not come up either; the caller gives up by itself, and its connection ends then.
+    let mut kept = Vec::new();
     let far = loop {
         let link = lock(&shared).link;
         if link.broken {
@@ -93,16 +102,43 @@
                 Err(_) => return,
             }
         }
-        smol::Timer::after(Duration::from_millis(5)).await;
+        let look = async {
+            smol::Timer::after(Duration::from_millis(5)).await;
+            true
+        };
+        if !keep(&mut near, &mut kept).or(look).await {
+            return;
+        }
     };
-    let there = pass(near.clone(), far.clone(), |l| l.there, &shared);
-    let back = pass(far.clone(), near.clone(), |l| l.back, &shared);
+    let there = pass(near.clone(), far.clone(), kept, |l| l.there, &shared);
+    let back = pass(far.clone(), near.clone(), Vec::new(), |l| l.back, &shared);
     // One side's end is the other's: these protocols have no half-closed connections.
     there.or(back).await;
     let _ = (near.shutdown(std::net::Shutdown::Both), far.shutdown(std::net::Shutdown::Both));
 }
 
-async fn pass(mut from: TcpStream, mut to: TcpStream, flow: fn(&Link) -> Flow, shared: &Mutex<Shared>) {
+/// Keeps what comes while nothing passes; false once the sender has ended the connection.
+async fn keep(from: &mut TcpStream, kept: &mut Vec<u8>) -> bool {
+    if kept.len() >= MOST_KEPT {
+        futures_lite::future::pending::<()>().await;
+    }
+    let mut buf = vec![0u8; 4 * 1024];
+    match from.read(&mut buf).await {
+        Ok(n) if n > 0 => {
+            kept.extend_from_slice(&buf[..n]);
+            true
+        }
+        _ => false,
+    }
+}
+
+async fn pass(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    mut kept: Vec<u8>,
+    flow: fn(&Link) -> Flow,
+    shared: &Mutex<Shared>,
+) {
     let (wake, woken): (Sender<()>, Receiver<()>) = async_channel::bounded(1);
     {
         // Those of connections that have ended go: what is kept is bounded by what stands.
@@ -117,12 +153,16 @@
             return;
         }
         if flow(&link) == Flow::Silent {
-            // What comes is not read: the sender's own window fills, and it hears nothing.
-            if woken.recv().await.is_err() {
+            // The sender hears nothing; what it sent comes once something passes again.
+            let changed = async { woken.recv().await.is_ok() };
+            if !keep(&mut from, &mut kept).or(changed).await {
                 return;
             }
             continue;
         }
+        if !kept.is_empty() && to.write_all(&std::mem::take(&mut kept)).await.is_err() {
+            return;
+        }
         let read = async { Some(from.read(&mut buf).await) };
         let changed = async {
             let _ = woken.recv().await;
