A configuration is read again though every descriptor is in use

Evidence: the front end's log, 'the configuration stays as it was: config.json: Too many open files (os error 24)'. Cause: SIGHUP came while no descriptor was free; the file was tried once, and nobody tells so again. Mended: clients that only hold their descriptors give them up, one each 10 ms and 100 at the most, until the file can be read. Test: every descriptor below the limit is in use before SIGHUP; it failed before with that line, and passes.

--- a/crates/badgerwind-cli/tests/platform/crossings.rs
+++ b/crates/badgerwind-cli/tests/platform/crossings.rs
@@ -390,3 +390,27 @@
     over.store(true, Ordering::Relaxed);
     holders.into_iter().for_each(|t| t.join().unwrap());
 }
+
+/// A configuration told while every descriptor is in use must not be lost: discovery has moved, and nobody tells so again.
+#[test]
+fn a_configuration_is_read_again_though_every_descriptor_is_in_use() {
+    const MOST: usize = 40;
+    let board = Board::start(2).unwrap();
+    let config = configuration("127.0.0.1:0".parse().unwrap(), board.address, &[]);
+    let front = Front::start_with_descriptors(MOST, config.clone());
+    assert!(until(|| !board.asked().is_empty()));
+    let mut holders = Vec::new();
+    // Those beyond its limit were handed to it at its start.
+    while front.descriptors_below(MOST) < MOST {
+        let mut web = front.web();
+        web.healthy(1).unwrap();
+        assert!(web.answer().is_ok());
+        holders.push(web);
+    }
+    let other = Board::start(2).unwrap();
+    let mut moved = config;
+    moved["board"] = json!(other.address);
+    front.replace(&moved.to_string());
+    front.signal("-HUP");
+    assert!(until(|| !other.asked().is_empty()), "{:?}", front.lines());
+}
--- a/crates/badgerwind-cli/tests/platform/rig.rs
+++ b/crates/badgerwind-cli/tests/platform/rig.rs
@@ -189,6 +189,13 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap().count()
     }
 
+    /// Descriptors that the process holds with numbers below this.
+    pub fn descriptors_below(&self, most: usize) -> usize {
+        let numbers = std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).unwrap();
+        let numbers = numbers.filter_map(|e| e.ok()?.file_name().to_str()?.parse::<usize>().ok());
+        numbers.filter(|n| *n < most).count()
+    }
+
     /// Its resident memory in KiB.
     pub fn memory(&self) -> u64 {
         let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).unwrap();
--- a/crates/badgerwind-gateway/src/platform/mod.rs
+++ b/crates/badgerwind-gateway/src/platform/mod.rs
@@ -27,6 +27,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
+use wire::is_short;
 
 /// How long requests still come after SIGTERM (PROTOCOL page, "Figures"), and a little more.
 const LATE_ARRIVALS: Duration = Duration::from_millis(750);
@@ -37,6 +38,9 @@
 const LONGEST_DEADLINE: Duration = Duration::from_secs(3);
 /// Connections that may wait to be accepted.
 const QUEUE: i32 = 1024;
+/// Clients that may give way for one reading of the configuration, and how long the end of one takes.
+const MOST_EVICTED: usize = 100;
+const EVICTION: Duration = Duration::from_millis(10);
 /// How often idle connections are looked at.
 const SWEEP: Duration = Duration::from_millis(250);
 
@@ -192,7 +196,7 @@
                 return;
             }
             let file = || path.display().to_string();
-            let read = load(path).and_then(|new| {
+            let read = self.load_with_room(path).await.and_then(|new| {
                 let changes =
                     ours.changes(&new).map_err(|error| PlatformError::Config { file: file(), error })?;
                 Ok((new.board, changes))
@@ -215,6 +219,19 @@
         }
     }
 
+    /// Reads a configuration. Where no descriptor is to be had for its file, clients that only hold theirs give them up: the
+    /// address of service discovery is told once.
+    async fn load_with_room(&self, path: &Path) -> Result<Config, PlatformError> {
+        for _ in 0..MOST_EVICTED {
+            match load(path) {
+                Err(PlatformError::Read { error, .. }) if is_short(&error) => _ = self.clients.evict(self),
+                other => return other,
+            }
+            Timer::after(EVICTION).await;
+        }
+        load(path)
+    }
+
     /// Answers what still comes and what is open, until nothing is or the time is up.
     async fn stop(
         self: &Rc<Self>,
