A reload without a descriptor holds SIGTERM back for 50 ms at the most

Seen on reading the change again: where no client gives way, the reload tried 100 times 10 ms, and signals wait meanwhile. A SIGTERM then was heard up to 1 s late, past the 0.1 s that the end of a stop leaves before SIGKILL. Mended: five tries, 50 ms.

--- a/crates/badgerwind-gateway/src/platform/mod.rs
+++ b/crates/badgerwind-gateway/src/platform/mod.rs
@@ -38,8 +38,9 @@
 const LONGEST_DEADLINE: Duration = Duration::from_secs(3);
 /// Connections that may wait to be accepted.
 const QUEUE: i32 = 1024;
-/// Clients that may give way for one reading of the configuration, and how long the end of one takes.
-const MOST_EVICTED: usize = 100;
+/// Clients that may give way for one reading of the configuration, and how long the end of one takes. SIGTERM waits meanwhile, and
+/// all of it has to pass within the 0.1 s that [`LAST_WORD`] leaves.
+const MOST_EVICTED: usize = 5;
 const EVICTION: Duration = Duration::from_millis(10);
 /// How often idle connections are looked at.
 const SWEEP: Duration = Duration::from_millis(250);
