Review, case 3: an attempt that was called off is sent again to the same executor

Cause: an attempt whose line is partly written is called off by closing its connection, and the close then queues it on a new connection, where nothing gives it up. Change: a case that fails, with its stand-ins; nothing outside review/.

--- /dev/null
+++ b/review/3/run.sh
@@ -0,0 +1,24 @@
+#!/bin/bash
+# An executor hangs while a connection to it is full: are two attempts of a request ever out at once?
+# Exit: 1 the rule was broken, 0 it held, 2 the case could not run. TROUBLE=0 plays it without the disruption.
+cd "$(dirname "$0")/../.." || exit 2
+here=review/3
+rm -f "$here/record.txt"
+if [ ! -x target/release/badgerwind ] || [ ! -x review/bin/case3 ]; then
+    echo "build first: the build line of deploy/balancer.toml, then review/build.sh" >&2
+    exit 2
+fi
+folder=$(mktemp -d) || exit 2
+finish() {
+    # All have ended by now; after an interruption the ids of those started tell what is left.
+    if [ -f "$folder/pids" ]; then
+        while read -r pid; do kill -KILL "$pid" 2>/dev/null; done < "$folder/pids"
+    fi
+    rm -rf "$folder"
+}
+trap finish EXIT
+trap 'exit 2' INT TERM
+timeout -k 2 112 review/bin/case3 "$folder" "$here/record.txt"
+code=$?
+grep ' judge ' "$here/record.txt" 2>/dev/null | tail -n 5
+case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
