--- a/review/standins/case3.rs
+++ b/review/standins/case3.rs
@@ -22,7 +22,7 @@
         key: format!("aaaa{function:012x}"),
         tenant: if n % 3 == 0 { "tallow-creek" } else { "brolga-shire" }.into(),
         wait_ms: 3000,
-        attributes: "memory_mb:400;lanes:1;load_ms:600".into(),
+        attributes: "memory_mb:400;lanes:1;load_ms:300".into(),
         body: vec![b'x'; body],
     }
 }
@@ -30,7 +30,7 @@
 fn play(folder: &Path) -> i32 {
     // Segments as on Ethernet and receive buffers of 16 KiB: on the loopback the system would else keep megabytes of a
     // connection in its own buffers.
-    let options = ExecutorOptions { receive_buffer: 16 * 1024, segment: 1460, ..ExecutorOptions::default() };
+    let options = ExecutorOptions { receive_buffer: 16 * 1024, segment: 1460, load_ms: 300, ..ExecutorOptions::default() };
     let Some(Deployment { mut processes, front, .. }) = start_deployment(folder, &options, (192, 1024)) else { return 2 };
     let record = processes.record.clone();
     let rec = |n: u32| folder.join(format!("executor{n}.rec"));
--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -289,6 +289,9 @@
     }
 }
 
+/// How long an executor looks for a function that does not exist, in milliseconds.
+const UNKNOWN_MS: u64 = 400;
+
 struct Work {
     /// The connection on which it came.
     connection: u64,
@@ -342,8 +345,17 @@
                 let wait: u64 = field(&line, "ms").and_then(|ms| ms.parse().ok()).unwrap_or(0);
                 record.line(&who, &format!("conn={n} FN {req} class={class} obj={function} ms={wait}"));
                 if !function.starts_with(&options.functions) {
-                    answer(format!("{{\"type\":\"FAULT\",\"req\":\"{req}\",\"meta\":{{}}}}\n"));
-                    record.line(&who, &format!("conn={n} answer {req} FAULT"));
+                    // It has looked for the function in the store, and found none.
+                    let (record, who, writer) = (record.clone(), who.clone(), writer.clone());
+                    thread::spawn(move || {
+                        sleep_ms(UNKNOWN_MS);
+                        wait_while_hung();
+                        record.line(&who, &format!("conn={n} answer {req} FAULT"));
+                        if let Ok(mut stream) = writer.lock() {
+                            let text = format!("{{\"type\":\"FAULT\",\"req\":\"{req}\",\"meta\":{{}}}}\n");
+                            let _ = stream.write_all(text.as_bytes());
+                        }
+                    });
                     continue;
                 }
                 let data = field(&line, "data").unwrap_or_default();
