Review: what a case starts ends with it, also when it is killed

Cause: the front end went on when the program of a case was killed by SIGKILL, and the script killed by ids that had ended. Change: children end with their parent; ids are killed only after an interruption.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -9,9 +9,10 @@
     exit 2
 fi
 folder=$(mktemp -d) || exit 2
+ended=
 finish() {
-    # All have ended by now; after an interruption the ids of those started tell what is left.
-    if [ -f "$folder/pids" ]; then
+    # The program ends what it started. Where it was interrupted itself, the ids that it wrote tell what is left.
+    if [ -z "$ended" ] && [ -f "$folder/pids" ]; then
         while read -r pid; do kill -KILL "$pid" 2>/dev/null; done < "$folder/pids"
     fi
     rm -rf "$folder"
@@ -20,5 +21,6 @@
 trap 'exit 2' INT TERM
 timeout -k 2 112 review/bin/case3 "$folder" "$here/record.txt"
 code=$?
+case $code in 0 | 1 | 2) ended=yes ;; esac
 grep ' judge ' "$here/record.txt" 2>/dev/null | tail -n 5
 case $code in 0 | 1) exit $code ;; *) exit 2 ;; esac
--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -90,13 +90,9 @@
     pub fn start_role(&mut self, name: &str, args: &[String]) -> u32 {
         let own = std::env::current_exe().expect("own path");
         let log = File::create(self.folder.join(format!("{name}.log"))).expect("log");
-        let child = Command::new(own)
-            .args(args)
-            .stdin(Stdio::piped())
-            .stdout(log.try_clone().expect("log"))
-            .stderr(log)
-            .spawn()
-            .expect("role");
+        let mut command = Command::new(own);
+        command.args(args).stdin(Stdio::piped()).stdout(log.try_clone().expect("log")).stderr(log);
+        let child = end_with_this(&mut command).spawn().expect("role");
         self.add(name, child)
     }
     /// Starts a front end by the run line of the deploy file.
@@ -106,7 +102,8 @@
             .append(true)
             .open(self.folder.join(format!("{name}.log")))
             .expect("log");
-        let child = Command::new("/bin/sh")
+        let mut command = Command::new("/bin/sh");
+        command
             .args(["-c", &run_line()])
             .env("BALANCER_CONFIG", config)
             .env("BALANCER_NAME", name)
@@ -114,9 +111,8 @@
             .env("TMPDIR", &self.folder)
             .stdin(Stdio::null())
             .stdout(log.try_clone().expect("log"))
-            .stderr(log)
-            .spawn()
-            .expect("front end");
+            .stderr(log);
+        let child = end_with_this(&mut command).spawn().expect("front end");
         self.add(name, child)
     }
     /// Gives an order to a process of this program.
@@ -279,6 +275,19 @@
 
 extern "C" {
     fn setsockopt(fd: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+    fn prctl(operation: i32, ...) -> i32;
+}
+
+/// Lets a process end with the one that starts it, however that ends.
+fn end_with_this(command: &mut Command) -> &mut Command {
+    use std::os::unix::process::CommandExt;
+    // SAFETY: between fork and exec it makes one system call, PR_SET_PDEATHSIG with SIGKILL.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(1, 9usize);
+            Ok(())
+        })
+    }
 }
 
 fn set_option(listener: &TcpListener, level: i32, name: i32, value: i32) {
