Review: a script that is stopped half way ends all that it started at once

Cause: the script waited for the program of its case in the foreground, so that a signal to it was handled only when the case had ended, and after SIGKILL the case went on by itself. Seen: 15 or 16 processes left 4 s after either signal, in all three cases.

--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -820,6 +820,17 @@
     ]
 }
 
+/// Lets the program of a case end with the script that started it, and after 110 s at the latest. What it started itself
+/// ends with it.
+fn end_with_script() {
+    // SAFETY: one system call, PR_SET_PDEATHSIG with SIGKILL.
+    unsafe { prctl(1, 9usize) };
+    thread::spawn(|| {
+        thread::sleep(Duration::from_secs(110));
+        std::process::exit(2);
+    });
+}
+
 /// Plays a role if the arguments name one; does not return then.
 pub fn play_role() {
     let args: Vec<String> = std::env::args().skip(1).collect();
@@ -842,7 +853,7 @@
             };
             run_executor(options, Record::open(Path::new(record)));
         }
-        _ => return,
+        _ => return end_with_script(),
     }
     std::process::exit(0);
 }
