--- a/review/10/case.py
+++ b/review/10/case.py
@@ -76,4 +76,4 @@
         front_end.end()
 
 
-sys.exit(asyncio.run(main()))
+run(main)
--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -2,12 +2,34 @@
 
 Python's standard library only. Every address is on 127.0.0.1. Times are Unix seconds (time.time()).
 """
-import asyncio, base64, json, os, signal, socket, struct, subprocess, sys, tempfile, threading, time
+import asyncio, base64, ctypes, json, os, shutil, signal, socket, struct, subprocess, sys, tempfile, threading, time, traceback
 
 _HERE = os.path.dirname(os.path.abspath(__file__))
 ROOT = os.path.dirname(os.path.dirname(_HERE))
 
 
+_libc = ctypes.CDLL(None)
+
+
+def run(main, seconds=115):
+    """Runs a case and exits with its code. Whatever goes wrong in the script itself ends with 2: an error of its own, a
+    signal, or no end within the time. The script's processes are ended first; if it is killed they go with it."""
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGALRM):
+        signal.signal(number, lambda *_: sys.exit(2))
+    signal.alarm(seconds)
+    code = 2
+    try:
+        code = asyncio.run(main())
+    except BaseException:
+        traceback.print_exc()
+    sys.exit(code)
+
+
+def end_with_parent():
+    """Runs in each started process: it is killed when the script ends (prctl, PR_SET_PDEATHSIG)."""
+    _libc.prctl(1, signal.SIGKILL)
+
+
 class Record:
     """`record.txt`: a line for everything that was sent, answered and run."""
 
@@ -332,7 +354,7 @@
         if os.environ.get("LOG_LEVEL"):
             run += " --log " + os.environ["LOG_LEVEL"]
         self.process = subprocess.Popen(["/bin/sh", "-c", run], cwd=ROOT, env=env, stderr=open(self.log_path, "a"),
-                                        stdout=subprocess.DEVNULL)
+                                        stdout=subprocess.DEVNULL, preexec_fn=end_with_parent)
         self.record("front-end", "started", pid=self.process.pid)
 
     async def ready(self, seconds=30):
@@ -386,6 +408,7 @@
             self.process.kill()
         if self.process:
             self.process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class UsualClients:
--- a/review/standins-2/webhook.py
+++ b/review/standins-2/webhook.py
@@ -2,8 +2,8 @@
 
 Python's standard library only. Every address is on 127.0.0.1.
 """
-import asyncio, base64, hashlib, hmac, json, os, subprocess, tempfile, time
-from fleet import ROOT, Record, free_port
+import asyncio, base64, hashlib, hmac, json, os, shutil, subprocess, tempfile, time
+from fleet import ROOT, Record, end_with_parent, run
 
 PROGRAM = os.path.join(ROOT, "target", "release", "badgerwind")
 
@@ -69,7 +69,7 @@
 
     def spawn(self, name, *args):
         log = open(self.path(name + ".log"), "a")
-        process = subprocess.Popen([PROGRAM, *args], cwd=ROOT, stdout=log, stderr=log)
+        process = subprocess.Popen([PROGRAM, *args], cwd=ROOT, stdout=log, stderr=log, preexec_fn=end_with_parent)
         self.processes.append(process)
         return process
 
@@ -153,6 +153,7 @@
             if process.poll() is None:
                 process.kill()
             process.wait()
+        shutil.rmtree(self.folder, ignore_errors=True)
 
 
 class ResettingProxy:
