--- a/crates/badgerwind-cli/tests/floods.rs
+++ b/crates/badgerwind-cli/tests/floods.rs
@@ -7,7 +7,7 @@
 use badgerwind_webhook::{sign, Key, KeyKind, ID, SIGNATURE, TIMESTAMP};
 use rig::*;
 use std::net::SocketAddr;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 fn now() -> i64 {
     SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_secs() as i64
@@ -173,3 +173,31 @@
         assert_eq!(post(rig.webhook, &rig.sender_key, "198.51.100.3", "s2", stale()).await.0, 429);
     });
 }
+
+/// Guards against review case 1 on this front, which uses the same decision module: while hundreds of messages for one
+/// function arrive at once, messages for another one are answered in time.
+#[test]
+fn a_burst_for_one_function_delays_no_other_message() {
+    const MESSAGES: usize = 600;
+    const DEADLINE: Duration = Duration::from_secs(2); // of the class `check`
+    smol::block_on(async {
+        let function = r#"<function name="lodge-0" memory-mb="100" lanes="8" load-time="5ms"/>"#;
+        let slow = r#"<function name="lodge-0" memory-mb="100" lanes="4" load-time="600ms"/>"#;
+        let rig = Rig::start(Plan { edits: vec![(function, slow.into())], ..Plan::default() }).await;
+        let (tasks, rig) = (smol::LocalExecutor::new(), &rig);
+        let message = |n| async move { rig.send(&format!("burst-{n}"), "/amend", 300).await };
+        let burst: Vec<_> = (0..MESSAGES).map(|n| tasks.spawn(message(n))).collect();
+        let others = async {
+            for n in 0..40 {
+                let sent = Instant::now();
+                rig.send(&format!("other-{n}"), CHECK, 1).await;
+                assert!(sent.elapsed() < DEADLINE, "{:?}", sent.elapsed());
+                smol::Timer::after(Duration::from_millis(50)).await;
+            }
+            for message in burst {
+                message.await; // each message has an answer
+            }
+        };
+        tasks.run(others).await;
+    });
+}
--- a/crates/badgerwind-platform/src/link.rs
+++ b/crates/badgerwind-platform/src/link.rs
@@ -416,8 +416,8 @@
     }
 
     /// Ends all tasks, because the connection has ended or is to be closed. Tasks that were completely
-    /// written may have run, the others have not; of these, cancelled ones end as cancelled. If the reason is a bad answer, and only one attempt can
-    /// have been meant by it, that attempt ends with an error.
+    /// written may have run, the others have not; of these, cancelled ones end as cancelled. If the reason is
+    /// a bad answer, and only one attempt can have been meant by it, that attempt ends with an error.
     pub fn close(&mut self, bad_answer: bool, ends: &mut Vec<End<C>>) {
         let is_attempt = |awaiting: &&AwaitedAnswer| matches!(awaiting.awaited, Awaited::Attempt(..));
         let attempts = self.awaiting.iter().filter(is_attempt).count();
--- a/crates/badgerwind-platform/tests/links.rs
+++ b/crates/badgerwind-platform/tests/links.rs
@@ -342,6 +342,60 @@
     assert_eq!(close(link, false), ["a/0 Reset", "b/0 Reset"], "completely written, both may have run");
 }
 
+/// Guards against review case 3 wherever the connection is full: at each number of bytes that its socket accepts, an
+/// attempt that was withheld, cancelled or both ends once, and is sent again in no case; others are, unless they may
+/// have run.
+#[test]
+fn at_each_byte_a_withdrawn_attempt_ends_once_and_is_never_sent_again() {
+    let line = line_length(&attempt("a"));
+    for written in 0..=3 * line {
+        for (withheld, cancelled) in [(true, false), (false, true), (true, true)] {
+            let (mut link, mut ends) = (TestLink::new(0), Vec::new());
+            ["a", "b", "c"].iter().for_each(|id| link.push(0, attempt(id)));
+            link.start_queued(0, write, &mut ends);
+            link.on_written(written, &mut ends);
+            let (id, may_have_run) = ("b".into(), written >= 2 * line);
+            if withheld {
+                link.withhold(&id, 0, &mut ends);
+            }
+            if cancelled {
+                link.cancel(&id, 0, CancelReason::Cancelled, &mut ends);
+            }
+            let reported = ends.len();
+            link.close(false, &mut ends);
+            let started = written > line;
+            let queued_again = |end: &End<()>| matches!(end, End::Unsent(task) if *task_id(task) == *id);
+            assert!(!started || !ends.iter().any(queued_again), "{written} bytes: sent again");
+            assert_eq!(
+                reported,
+                usize::from(!started),
+                "{written} bytes: withheld at once only before its first byte"
+            );
+            let expected = match (started, may_have_run, cancelled) {
+                (false, ..) => "b unsent",
+                (true, _, true) => "b/0 Cancelled",
+                (true, true, false) => "b/0 Reset",
+                (true, false, false) => "b withheld",
+            };
+            let other =
+                |id: &str, sent: bool| if sent { format!("{id}/0 Reset") } else { format!("{id} unsent") };
+            let mut expected =
+                [other("a", written >= line), expected.into(), other("c", written >= 3 * line)];
+            let mut ends = summaries(ends);
+            ends.sort();
+            expected.sort();
+            assert_eq!(ends, expected, "{written} bytes, withheld: {withheld}, cancelled: {cancelled}");
+        }
+    }
+}
+
+fn task_id(task: &Task<()>) -> &str {
+    match task {
+        Task::Attempt { id, .. } => id,
+        _ => "",
+    }
+}
+
 #[test]
 fn a_valid_answer_after_an_unknown_one_counts_and_the_connection_is_retired() {
     let mut link = sent_link(&["a"]);
--- a/crates/badgerwind/tests/bursts.rs
+++ b/crates/badgerwind/tests/bursts.rs
@@ -6,7 +6,7 @@
 use badgerwind::Router;
 use common::{entry, request, settings, MS};
 use cpu_time::ThreadTime;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 /// The time within which each client of a burst is owed an answer. The router runs in the thread that does
@@ -30,7 +30,8 @@
     alarms: Vec<Time>,
     attempts: Vec<SentAttempt>,
     sent: BTreeMap<RequestId, u32>,
-    answered: usize,
+    arrived: u64,
+    answered: BTreeSet<RequestId>,
 }
 
 impl MeasuredRouter {
@@ -43,7 +44,8 @@
             alarms: Vec::new(),
             attempts: Vec::new(),
             sent: BTreeMap::new(),
-            answered: 0,
+            arrived: 0,
+            answered: BTreeSet::new(),
         };
         let entries = (1..=WORKERS).map(|worker| entry(worker, Availability::Ready, None)).collect();
         measured.event(Event::List { kind: ListKind::Whole, entries });
@@ -56,7 +58,9 @@
         for action in actions {
             match action {
                 Action::SetAlarm { after, .. } => self.alarms.push(self.now + after),
-                Action::Refuse { .. } | Action::Fail { .. } => self.answered += 1,
+                Action::Refuse { id, .. } | Action::Fail { id } => {
+                    assert!(self.answered.insert(id), "a request has one final answer");
+                }
                 Action::Send { id, worker, .. } => {
                     let count = self.sent.entry(id.clone()).or_default();
                     self.attempts.push(SentAttempt { id, number: *count, worker, at: self.now });
@@ -66,7 +70,11 @@
             }
         }
         let used = self.started.elapsed();
-        assert!(used < ANSWER_TIME, "{used:?} of processor time, with {} requests answered", self.answered);
+        assert!(
+            used < ANSWER_TIME,
+            "{used:?} of processor time, with {} requests answered",
+            self.answered.len()
+        );
     }
 
     /// Requests that all arrive within 10 ms.
@@ -74,7 +82,8 @@
         let start = self.now;
         for n in 0..requests {
             self.now = start + 10 * MS * n / requests;
-            let request = request(&format!("{n:016x}"), &function(n), start + 3000 * MS);
+            self.arrived += 1;
+            let request = request(&format!("{:016x}", self.arrived), &function(n), start + 3000 * MS);
             self.event(Event::Request(Request { lanes, ..request }));
         }
     }
@@ -94,15 +103,19 @@
     fn fail_all(&mut self, time: u64, end: u64) {
         for _ in 0..=end / time {
             self.advance(time);
-            self.fail_attempts();
+            self.end_attempts(Outcome::Error, 0);
         }
     }
 
-    /// Answers the attempts sent so far with an error, as an executor that does not know the function does.
-    fn fail_attempts(&mut self) {
+    /// Ends the attempts sent so far; an executor that does not know the function answers with an error.
+    /// `crowd` is the number of other requests that the executor reports.
+    fn end_attempts(&mut self, outcome: Outcome, crowd: u32) {
         for SentAttempt { id, number: attempt, worker, at } in std::mem::take(&mut self.attempts) {
-            let (outcome, mark, lag) = (Outcome::Error, CopyMark::Untold, self.now - at);
-            let (last, crowd, report) = (false, None, None);
+            let (mark, lag, last) = (CopyMark::Untold, self.now - at, outcome == Outcome::Ok);
+            if last {
+                self.answered.insert(id.clone());
+            }
+            let (crowd, report) = (Some(crowd), None);
             self.event(Event::Answer { id, attempt, worker, outcome, last, lag, mark, crowd, report });
         }
     }
@@ -117,8 +130,11 @@
         let mut measured = MeasuredRouter::start();
         measured.burst(requests, |_| "f".into(), lanes);
         measured.fail_all(400 * MS, 3000 * MS);
-        let answered = measured.answered as u64;
-        assert_eq!(answered, requests, "each request has its final answer, {lanes} lanes");
+        assert_eq!(
+            measured.answered.len() as u64,
+            requests,
+            "each request has its final answer, {lanes} lanes"
+        );
         println!("{requests} requests, {lanes} lanes: {:?}", measured.started.elapsed());
     }
 }
@@ -131,8 +147,37 @@
         let mut measured = MeasuredRouter::start();
         measured.burst(requests, |n| format!("f{n}"), 10_000);
         measured.fail_all(400 * MS, 3000 * MS);
-        let answered = measured.answered as u64;
-        assert_eq!(answered, requests, "each request has its final answer");
+        assert_eq!(measured.answered.len() as u64, requests, "each request has its final answer");
         println!("{requests} functions: {:?}", measured.started.elapsed());
     }
 }
+
+/// Guards the same burst for a function that is known: each answer frees a lane, and was followed by a decision on
+/// every held request. An executor may report any number of other requests, which sized a loop.
+#[test]
+fn a_burst_for_a_served_function_stops_the_router_for_less_than_the_answer_time() {
+    for crowd in [0, u32::MAX] {
+        let mut measured = MeasuredRouter::start();
+        for requests in [1, 600] {
+            measured.burst(requests, |_| "f".into(), 4);
+            for _ in 0..60 {
+                measured.advance(50 * MS);
+                measured.end_attempts(Outcome::Ok, crowd);
+            }
+        }
+        assert_eq!(measured.answered.len(), 601, "each request has its final answer, {crowd} others");
+        println!("{crowd} others: {:?}", measured.started.elapsed());
+    }
+}
+
+/// Guards against withdrawals that each search all held requests of the function.
+#[test]
+fn a_burst_that_is_withdrawn_stops_the_router_for_less_than_the_answer_time() {
+    let mut measured = MeasuredRouter::start();
+    measured.burst(6_000, |_| "f".into(), 4);
+    for n in 1..=measured.arrived {
+        measured.event(Event::ClientDisconnected { id: format!("{n:016x}").into() });
+    }
+    assert_eq!(measured.router.stats().waiting, 0, "no function has held requests");
+    println!("6000 withdrawn: {:?}", measured.started.elapsed());
+}
