Functions that any client can name no longer fill a front end's memory

Change: a function is unconfirmed until a worker has served it or loaded a copy. At most 1,024 unconfirmed ones are remembered; the least recently called one is forgotten first. One with held requests, attempts or orders is kept. Confirmed functions are kept as before: they can be named only as fast as workers serve or load them.

Why this works: what remains beside the 1,024 records is bounded by open requests and by orders, which have limits of their own.

--- a/crates/badgerwind/src/dispatch.rs
+++ b/crates/badgerwind/src/dispatch.rs
@@ -9,6 +9,8 @@
 const MAX_WAITING: usize = 64; // Requests of a function found to wait, after which a dispatch ends.
 const REVIEW_RUNS: u64 = 2; // Maintenance runs after which each held request is decided on again.
 const MIN_REVIEW: Micros = 50_000; // The least time until then, in µs.
+const MAX_UNCONFIRMED: usize = 1024; // Functions remembered that no worker has served or loaded so far.
+const MAX_FORGOTTEN: usize = 4; // Such functions looked at, to be forgotten, when another one is called.
 const RETRY_SHARE: f64 = 0.2; // Retry budget: further attempts, by routers or clients, per new request.
 
 impl Router {
@@ -74,6 +76,11 @@
     pub(crate) fn register_arrival(&mut self, request: &Request) -> usize {
         let (now, keep, start) = (self.now, self.keep_alive(), self.started_at.unwrap_or(self.now));
         let known = self.state.slots.get(&request.function).copied();
+        match known {
+            Some(slot) => self.state.renew_unconfirmed(slot),
+            // Guards against names that clients make up: each of them would be kept for many keep-alives.
+            None => self.state.limit_unconfirmed(MAX_UNCONFIRMED - 1, MAX_FORGOTTEN),
+        }
         let slot = known.unwrap_or_else(|| {
             let mean = self.state.load_sum / self.state.slots.len().max(1) as f64;
             let guess = if mean > 0.0 { mean } else { keep * LOAD_GUESS };
--- a/crates/badgerwind/src/feedback.rs
+++ b/crates/badgerwind/src/feedback.rs
@@ -26,6 +26,7 @@
         if outcome == Outcome::Ok {
             let (now, keep) = (self.now, self.keep_alive());
             self.state.change_worker(id, |worker| worker.record_served(now, keep));
+            self.state.confirm_function(self.state.open[request].slot);
         }
         let (slot, kinds) = (self.state.open[request].slot, self.state.open[request].kinds());
         self.learn(slot, kinds, id, answer);
@@ -161,6 +162,9 @@
         let LoadResult { outcome, copies: count, lag } = result;
         let Some(&slot) = self.state.slots.get(name) else { return };
         let (now, pause) = (self.now, self.interval * BACKOFF);
+        if outcome == Outcome::Ok && count > 0 {
+            self.state.confirm_function(slot);
+        }
         self.state.void_stale_copies(slot);
         let function = &mut self.state.functions[slot];
         let Some(worker) = self.state.workers.get_mut(&id) else { return };
--- a/crates/badgerwind/src/lib.rs
+++ b/crates/badgerwind/src/lib.rs
@@ -11,6 +11,7 @@
 mod load_orders;
 mod maintenance;
 mod message;
+mod recency;
 mod records;
 mod router;
 mod router_state;
--- a/crates/badgerwind/src/records.rs
+++ b/crates/badgerwind/src/records.rs
@@ -2,6 +2,7 @@
 
 use crate::held::HeldQueue;
 use crate::interface::*;
+use crate::recency::Stamp;
 pub(crate) use badgerwind_health::Health;
 use badgerwind_placement::WEIGHT_OF_SIZE;
 use std::collections::{BTreeMap, VecDeque};
@@ -249,6 +250,10 @@
 }
 
 impl Copies {
+    /// Whether no attempt or order is pending there.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.in_flight == 0 && self.orders.is_empty()
+    }
     /// Copies that the pending orders lead to.
     pub(crate) fn pending_count(&self) -> u32 {
         self.orders.iter().map(|o| o.1).max().unwrap_or(0)
@@ -283,6 +288,9 @@
     /// Errors before anything was served, and the time of the last one.
     pub errors: u32,
     pub failed_at: Time,
+    /// Its place among the functions of which nothing shows that they exist; `None`: a worker has served it or
+    /// loaded a copy.
+    pub unconfirmed: Option<Stamp>,
     /// Loads in the first step of the last plan.
     pub last_loads: f64,
     /// Requests that wait for a lane.
@@ -310,6 +318,10 @@
 }
 
 impl Function {
+    /// Whether no request is held for it, and no attempt or order is pending.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.held.is_empty() && self.copies.values().all(|copies| copies.is_idle())
+    }
     /// Adds an observed load time to the mean. Returns the change of the mean.
     pub(crate) fn observe_load(&mut self, sample: f64, gain: f64) -> f64 {
         let before = self.load_time;
--- a/crates/badgerwind/src/router_state.rs
+++ b/crates/badgerwind/src/router_state.rs
@@ -5,6 +5,7 @@
 use crate::held::{HeldQueue, Priority};
 use crate::interface::*;
 use crate::message;
+use crate::recency::RecencyQueue;
 use crate::records::*;
 use badgerwind_cells::CellIndex;
 use badgerwind_placement::{cells, fingerprint, preferred_workers};
@@ -34,6 +35,8 @@
     /// Slots in `functions` by name, and slots that are free.
     pub slots: BTreeMap<FunctionId, usize>,
     pub free_slots: Vec<usize>,
+    /// Functions that no worker has served or loaded so far: any client can name them.
+    pub unconfirmed: RecencyQueue,
     /// Sum of the load times of all functions.
     pub load_sum: f64,
     /// Functions with held requests, and the number of requests held for functions that were ever served.
@@ -150,16 +153,54 @@
         self.totals.include(worker);
         Some(changed)
     }
-    /// Adds a function and returns its slot.
+    /// Adds a function and returns its slot. It is unconfirmed.
     pub(crate) fn insert_function(&mut self, request: &Request, load_time: f64, step: Micros) -> usize {
         let (name, class) = (request.function.clone(), request.class);
         let slot = self.free_slots.pop().unwrap_or(self.functions.len());
         self.slots.insert(name.clone(), slot);
         self.functions.resize_with(self.functions.len().max(slot + 1), Function::default);
-        self.functions[slot] = Function { name, class, load_time, step, ..Function::default() };
+        let unconfirmed = Some(self.unconfirmed.push(slot));
+        self.functions[slot] = Function { name, class, load_time, step, unconfirmed, ..Function::default() };
         self.load_sum += load_time;
         slot
     }
+    /// Makes an unconfirmed function the most recently used one of these.
+    pub(crate) fn renew_unconfirmed(&mut self, slot: usize) {
+        let Some(stamp) = self.functions[slot].unconfirmed else { return };
+        self.unconfirmed.remove(stamp);
+        self.functions[slot].unconfirmed = Some(self.unconfirmed.push(slot));
+    }
+    /// Records that a worker has served a function or loaded a copy of it, which shows that it exists.
+    pub(crate) fn confirm_function(&mut self, slot: usize) {
+        if let Some(stamp) = self.functions[slot].unconfirmed.take() {
+            self.unconfirmed.remove(stamp);
+        }
+    }
+    /// Forgets the least recently used unconfirmed functions beyond `max` of them, at most `most` of them at
+    /// once. Those with held requests, attempts or orders are kept.
+    pub(crate) fn limit_unconfirmed(&mut self, max: usize, most: usize) {
+        for _ in 0..most {
+            let Some(slot) = self.unconfirmed.oldest().filter(|_| self.unconfirmed.len() > max) else {
+                return;
+            };
+            if self.functions[slot].is_idle() {
+                self.forget_function(slot);
+            } else {
+                self.renew_unconfirmed(slot);
+            }
+        }
+    }
+    /// Forgets a function that is idle.
+    fn forget_function(&mut self, slot: usize) {
+        let function = std::mem::take(&mut self.functions[slot]);
+        self.slots.remove(&function.name);
+        self.load_sum -= function.load_time;
+        self.planned.remove(&(function.plan_at, slot));
+        if let Some(stamp) = function.unconfirmed {
+            self.unconfirmed.remove(stamp);
+        }
+        self.free_slots.push(slot);
+    }
     /// Records a belief that proved false. Returns how many there are since `from`, and whether at several
     /// workers.
     pub(crate) fn record_misprediction(&mut self, now: Time, id: WorkerId, from: Time) -> (usize, bool) {
@@ -225,21 +266,15 @@
         let (from, count) = (self.next_function, self.functions.len());
         let to = count.min(from + limits.max_items);
         self.next_function = if to < count { to } else { 0 };
-        let idle = |copies: &Copies| copies.in_flight == 0 && copies.orders.is_empty();
         for slot in from..to {
             let (function, workers) = (&mut self.functions[slot], &self.workers);
             if function.step == 0 {
                 continue; // a free slot
             }
             let listed = |id: &WorkerId| workers.get(id).is_some_and(|worker| !worker.removed);
-            function.copies.retain(|id, copies| !idle(copies) || listed(id));
-            let unused = function.used_at < limits.unused && function.held.is_empty();
-            if unused && function.copies.values().all(|copies| idle(copies)) {
-                self.slots.remove(&function.name);
-                self.load_sum -= function.load_time;
-                self.planned.remove(&(function.plan_at, slot));
-                *function = Function::default();
-                self.free_slots.push(slot);
+            function.copies.retain(|id, copies| !copies.is_idle() || listed(id));
+            if function.used_at < limits.unused && function.is_idle() {
+                self.forget_function(slot);
             }
         }
     }
@@ -269,8 +304,7 @@
         let function = &mut self.functions[slot];
         let quiet = function.held.is_empty() && function.bins.iter().all(|&arrivals| arrivals == 0.0);
         let alone = function.spread == 0 && (warm || function.last_loads > 0.0);
-        let busy = |copies: &Copies| copies.in_flight > 0 || !copies.orders.is_empty();
-        if !quiet || alone || function.copies.values().any(|copies| busy(copies)) {
+        if !quiet || alone || function.copies.values().any(|copies| !copies.is_idle()) {
             return self.plan_next(slot);
         }
         function.bins = VecDeque::new();
