The timers of a call, an order or a probe end with it

Found beside it: a timer of an ended call also acted on a later call with the same id, whose attempts were cancelled and which was failed as overdue before its own time.

Cause: the driver's timers were never removed early. Each call set two timers, each attempt up to two more, and all kept the call's id until they expired: as long as the client had named, up to 600 s.

Change: a timer has a key; the call, order or probe that it belongs to keeps the key, and its end cancels the timer. The order in which timers expire is unchanged.

Why this works: the number of timers is bounded by what is open.

--- a/crates/badgerwind-driver/src/driver.rs
+++ b/crates/badgerwind-driver/src/driver.rs
@@ -1,6 +1,6 @@
 //! The driver: translates inputs into events for the decision module, and its actions into outputs.
 
-use crate::ledger::{Attempt, PendingCall, PendingOrder, SentAttempt, Timer, Timers};
+use crate::ledger::{Attempt, PendingCall, PendingOrder, PendingProbe, SentAttempt, Timer, Timers};
 use crate::*;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::panic::{catch_unwind, AssertUnwindSafe};
@@ -23,8 +23,8 @@
     workers: BTreeSet<WorkerId>,
     pending_orders: BTreeMap<OrderId, PendingOrder>,
     next_order: u64,
-    /// Numbers of the unanswered probes by runner, oldest first.
-    pending_probes: BTreeMap<WorkerId, VecDeque<u64>>,
+    /// The unanswered probes by runner, oldest first.
+    pending_probes: BTreeMap<WorkerId, VecDeque<PendingProbe>>,
     next_probe: u64,
     timers: Timers,
     /// The module has panicked and is not called any more.
@@ -111,8 +111,8 @@
         self.calls.len()
     }
 
-    /// Number of timers set. Each belongs to a call, an order, a probe or an alarm of the module, so that
-    /// their number is bounded.
+    /// Number of timers set. Each belongs to a call, an order, a probe or an alarm of the module and ends with
+    /// it, so that their number is bounded.
     pub fn timer_count(&self) -> usize {
         self.timers.len()
     }
@@ -137,7 +137,7 @@
                     out.push(Output::Cancel { id, attempt, worker, reason: CancelReason::Cancelled });
                 }
             }
-            self.calls.remove(&id);
+            self.forget(&id);
         }
     }
 
@@ -183,9 +183,10 @@
             Input::AttemptEnded { id, attempt, end } => self.on_attempt_ended(&id, attempt, end, out),
             Input::OrderEnded { order, outcome, copies } => self.on_order_ended(order, outcome, copies, out),
             Input::ProbeEnded { worker, outcome, report } => {
-                let pending = self.pending_probes.get_mut(&worker).and_then(VecDeque::pop_front).is_some();
+                let pending = self.pending_probes.get_mut(&worker).and_then(VecDeque::pop_front);
                 self.pending_probes.retain(|_, q| !q.is_empty());
-                if pending {
+                if let Some(probe) = pending {
+                    self.timers.cancel([probe.timer]);
                     self.handle_event(Event::Probed { worker, outcome, report }, out);
                 }
             }
@@ -211,6 +212,11 @@
             return out.push(Output::Answer { id, origin, answer, attempts: 0, worker: None, lag: 0 });
         }
         let (id, due) = (request.id.clone(), request.due);
+        let overdue = due.saturating_add(self.limits.answer_slack);
+        let timers = vec![
+            self.timers.set(due, Timer::CallDue(id.clone())),
+            self.timers.set(overdue, Timer::AnswerOverdue(id.clone())),
+        ];
         let call = PendingCall {
             origin: Some(origin),
             content: Some(content),
@@ -218,11 +224,10 @@
             received: self.now,
             streaming_attempt: None,
             attempts: Vec::new(),
+            timers,
         };
-        self.calls.insert(id.clone(), call);
+        self.calls.insert(id, call);
         self.unanswered += 1;
-        self.timers.set(due, Timer::CallDue(id.clone()));
-        self.timers.set(due.saturating_add(self.limits.answer_slack), Timer::AnswerOverdue(id));
         self.handle_event(Event::Request(request), out);
     }
 
@@ -269,9 +274,10 @@
     }
 
     fn on_order_ended(&mut self, order: OrderId, outcome: Outcome, copies: u32, out: &mut Outputs<O, C, R>) {
-        let Some(PendingOrder { worker, function, sent }) = self.pending_orders.remove(&order) else {
+        let Some(PendingOrder { worker, function, sent, timer }) = self.pending_orders.remove(&order) else {
             return;
         };
+        self.timers.cancel([timer]);
         let lag = self.now.saturating_sub(sent);
         self.handle_event(Event::Loaded { worker, function, outcome, copies, lag }, out);
     }
@@ -306,7 +312,8 @@
             }
             Timer::OrderTimeout(order) => self.on_order_ended(order, Outcome::Timeout, 0, out),
             Timer::ProbeTimeout(number) => {
-                let expired = self.pending_probes.iter_mut().find(|(_, q)| q.front() == Some(&number));
+                let is_next = |q: &VecDeque<PendingProbe>| q.front().is_some_and(|p| p.number == number);
+                let expired = self.pending_probes.iter_mut().find(|(_, q)| is_next(q));
                 if let Some((&worker, queue)) = expired {
                     queue.pop_front();
                     self.pending_probes.retain(|_, q| !q.is_empty());
@@ -393,14 +400,15 @@
             }
             Action::Load { worker, function, copies } => {
                 if !self.workers.contains(&worker) {
-                    return self.timers.set(self.now, Timer::OrderNotSent(worker, function));
+                    self.timers.set(self.now, Timer::OrderNotSent(worker, function));
+                    return;
                 }
                 let order = OrderId(self.next_order);
                 self.next_order += 1;
                 let deadline = self.now.saturating_add(self.limits.order_timeout);
                 let (sent, name) = (self.now, function.clone());
-                self.pending_orders.insert(order, PendingOrder { worker, function, sent });
-                self.timers.set(deadline, Timer::OrderTimeout(order));
+                let timer = self.timers.set(deadline, Timer::OrderTimeout(order));
+                self.pending_orders.insert(order, PendingOrder { worker, function, sent, timer });
                 out.push(Output::Order { order, worker, function: name, copies, deadline });
             }
             Action::Drop { worker, function } if self.workers.contains(&worker) => {
@@ -412,9 +420,10 @@
             }
             Action::Probe { worker } => {
                 self.next_probe += 1;
-                self.pending_probes.entry(worker).or_default().push_back(self.next_probe);
-                let deadline = self.now.saturating_add(self.limits.probe_timeout);
-                self.timers.set(deadline, Timer::ProbeTimeout(self.next_probe));
+                let (number, deadline) =
+                    (self.next_probe, self.now.saturating_add(self.limits.probe_timeout));
+                let timer = self.timers.set(deadline, Timer::ProbeTimeout(number));
+                self.pending_probes.entry(worker).or_default().push_back(PendingProbe { number, timer });
                 if self.workers.contains(&worker) {
                     out.push(Output::Probe { worker });
                 }
@@ -440,12 +449,13 @@
         let content = call.content.clone().filter(|_| !must_not_send && self.workers.contains(&worker));
         let Some(content) = content else {
             call.attempts.push(Attempt::NotSent);
-            return self.timers.set(now, Timer::AttemptNotSent(id, attempt, worker));
+            self.timers.set(now, Timer::AttemptNotSent(id, attempt, worker));
+            return;
         };
         call.attempts.push(Attempt::InFlight { worker, sent: now });
         let deadline = timeout.map_or(call.due, |t| now.saturating_add(t).min(call.due));
         if deadline < call.due {
-            self.timers.set(deadline, Timer::AttemptTimeout(id.clone(), attempt));
+            call.timers.push(self.timers.set(deadline, Timer::AttemptTimeout(id.clone(), attempt)));
         }
         out.push(Output::Attempt { id, attempt, worker, content, deadline });
     }
@@ -462,7 +472,7 @@
         let Attempt::InFlight { worker, sent } = *state else { return };
         *state = Attempt::Cancelling { worker, sent, reason };
         let deadline = self.now.saturating_add(self.limits.cancel_timeout);
-        self.timers.set(deadline, Timer::CancelTimeout(id.clone(), attempt));
+        call.timers.push(self.timers.set(deadline, Timer::CancelTimeout(id.clone(), attempt)));
         out.push(Output::Cancel { id: id.clone(), attempt, worker, reason });
     }
 
@@ -499,7 +509,13 @@
 
     fn forget_if_finished(&mut self, id: &RequestId) {
         if self.calls.get(id).is_some_and(PendingCall::is_finished) {
-            self.calls.remove(id);
+            self.forget(id);
         }
     }
+
+    /// Forgets a call together with its timers.
+    fn forget(&mut self, id: &RequestId) {
+        let call = self.calls.remove(id);
+        self.timers.cancel(call.into_iter().flat_map(|call| call.timers));
+    }
 }
--- a/crates/badgerwind-driver/src/ledger.rs
+++ b/crates/badgerwind-driver/src/ledger.rs
@@ -1,8 +1,7 @@
 //! Bookkeeping of the driver: open calls and their attempts, load orders and timers.
 
 use badgerwind::interface::*;
-use std::cmp::Reverse;
-use std::collections::BinaryHeap;
+use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use crate::{CancelReason, OrderId};
@@ -55,6 +54,8 @@
     /// The attempt whose streamed answer is being passed on to the caller.
     pub streaming_attempt: Option<u32>,
     pub attempts: Vec<Attempt>,
+    /// The timers set for it and its attempts, cancelled when it is forgotten.
+    pub timers: Vec<TimerKey>,
 }
 
 impl<O, C> PendingCall<O, C> {
@@ -71,11 +72,18 @@
     pub worker: WorkerId,
     pub function: FunctionId,
     pub sent: Time,
+    pub timer: TimerKey,
 }
 
-/// What happens when a timer expires. Timers are never removed early: one whose subject has ended has no
-/// effect.
-#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+/// A probe without an answer.
+#[derive(Debug)]
+pub(crate) struct PendingProbe {
+    pub number: u64,
+    pub timer: TimerKey,
+}
+
+/// What happens when a timer expires. Those of a call, an order or a probe are cancelled when it ends.
+#[derive(Debug)]
 pub(crate) enum Timer {
     /// An alarm set by the module.
     Alarm(Arc<str>),
@@ -97,17 +105,30 @@
     OrderNotSent(WorkerId, FunctionId),
 }
 
+/// Identifies a timer that is set. Timers expire in the order of their keys.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct TimerKey {
+    at: Time,
+    sequence: u64,
+}
+
 /// Timers, ordered by time and then by the order in which they were set.
 #[derive(Debug, Default)]
 pub(crate) struct Timers {
-    heap: BinaryHeap<Reverse<(Time, u64, Timer)>>,
+    pending: BTreeMap<TimerKey, Timer>,
     last_sequence: u64,
 }
 
 impl Timers {
-    pub(crate) fn set(&mut self, at: Time, timer: Timer) {
+    pub(crate) fn set(&mut self, at: Time, timer: Timer) -> TimerKey {
         self.last_sequence += 1;
-        self.heap.push(Reverse((at, self.last_sequence, timer)));
+        let key = TimerKey { at, sequence: self.last_sequence };
+        self.pending.insert(key, timer);
+        key
+    }
+    /// Removes timers; those that have expired are ignored.
+    pub(crate) fn cancel(&mut self, keys: impl IntoIterator<Item = TimerKey>) {
+        keys.into_iter().for_each(|key| _ = self.pending.remove(&key));
     }
     /// The sequence number of the timer set last.
     pub(crate) fn last_sequence(&self) -> u64 {
@@ -119,18 +140,14 @@
         // Looking at the first timer is enough: one set by the batch is due at `now` or later, hence sorts
         // behind all older ones that are due. Should its due time lie in the past, older ones wait for the
         // next batch, which follows at once.
-        let due = |Reverse((at, sequence, _)): &Reverse<(Time, u64, Timer)>| {
-            *at <= now && *sequence <= max_sequence
-        };
-        if self.heap.peek().is_some_and(due) {
-            return self.heap.pop().map(|Reverse((_, _, timer))| timer);
-        }
-        None
+        let first = self.pending.first_entry()?;
+        let key = *first.key();
+        (key.at <= now && key.sequence <= max_sequence).then(|| first.remove())
     }
     pub(crate) fn next(&self) -> Option<Time> {
-        self.heap.peek().map(|Reverse((at, ..))| *at)
+        self.pending.first_key_value().map(|(key, _)| key.at)
     }
     pub(crate) fn len(&self) -> usize {
-        self.heap.len()
+        self.pending.len()
     }
 }
