Sliding windows store one entry for each batch, not one for each request

Change: occurrences at the same time share one entry with a running count, in one package that router and order limit use in place of two structures of their own. All requests of a batch have the time of the batch, so that the entries are bounded by the batches in the window. The counts are the same.

Decisions are unchanged: the tests of the module and of the limit pass as they were.

--- a/crates/badgerwind-config/src/order_limit.rs
+++ b/crates/badgerwind-config/src/order_limit.rs
@@ -4,7 +4,7 @@
 //! it.
 
 use badgerwind::interface::{Micros, Time};
-use std::collections::VecDeque;
+use badgerwind_window::SlidingWindow;
 
 /// The limit on load orders of one front end, across all of its decision modules. Within a sliding window it
 /// allows `free` orders plus `share` orders per accepted call.
@@ -13,14 +13,14 @@
     window: Micros,
     free: f64,
     share: f64,
-    orders: VecDeque<Time>,
-    calls: VecDeque<Time>,
+    orders: SlidingWindow,
+    calls: SlidingWindow,
 }
 
 impl OrderLimit {
     /// Creates a limit with nothing counted. A window of 0 disables the limit.
     pub fn new(window: Micros, free: f64, share: f64) -> Self {
-        OrderLimit { window, free, share, orders: VecDeque::new(), calls: VecDeque::new() }
+        OrderLimit { window, free, share, orders: SlidingWindow::default(), calls: SlidingWindow::default() }
     }
 
     /// Replaces the figures of the limit. Orders and calls counted so far still count: orders given under the
@@ -29,20 +29,17 @@
         (self.window, self.free, self.share) = (window, free, share);
     }
 
+    /// Forgets what is outside the window. An order at its beginning still counts, a call does not.
     fn expire(&mut self, now: Time) {
         let from = now.saturating_sub(self.window);
-        while self.orders.front().is_some_and(|&t| t < from) {
-            self.orders.pop_front();
-        }
-        while self.calls.front().is_some_and(|&t| t <= from) {
-            self.calls.pop_front();
-        }
+        self.orders.forget_before(from);
+        self.calls.forget_before(from + 1);
     }
 
     /// Counts an accepted call.
     pub fn record_call(&mut self, now: Time) {
         if self.window > 0 {
-            self.calls.push_back(now);
+            self.calls.push(now);
             self.expire(now);
         }
     }
@@ -53,10 +50,10 @@
             return true;
         }
         self.expire(now);
-        let limit = self.free + self.share * self.calls.len() as f64;
-        let allowed = self.orders.len() as f64 + 1.0 <= limit;
+        let limit = self.free + self.share * self.calls.count_since(0) as f64;
+        let allowed = self.orders.count_since(0) as f64 + 1.0 <= limit;
         if allowed {
-            self.orders.push_back(now);
+            self.orders.push(now);
         }
         allowed
     }
--- a/crates/badgerwind/src/eligibility.rs
+++ b/crates/badgerwind/src/eligibility.rs
@@ -58,7 +58,7 @@
         let full_rate = worker.size * if totals.served > 0 { demand.min(mean) } else { demand };
         let window = self.settings.fall_window;
         let budget = full_rate * capacity * window as f64 / 1e6 * self.settings.fall_multiple * COLD_SHARE;
-        let sent = worker.sends.count_since(self.now.saturating_sub(window));
+        let sent = worker.sends.count_since(self.now.saturating_sub(window)) as f64;
         // A budget below one send accumulates from a hashed start, so that front ends do not send at once.
         let age = self.now.saturating_sub(worker.warming_since.unwrap_or(0)) as f64 / window.max(1) as f64;
         let accumulated = budget / capacity * age * (self.settings.cold_from + capacity) / 2.0;
--- a/crates/badgerwind/src/load_orders.rs
+++ b/crates/badgerwind/src/load_orders.rs
@@ -32,10 +32,10 @@
     /// Rule 5: whether one more order fits this share of the limit in the sliding window.
     pub(crate) fn within_order_limit(&self, share: f64) -> bool {
         let from = self.now.saturating_sub(self.settings.load_window);
-        let requests = self.state.arrivals.count_since(from + 1);
+        let requests = self.state.arrivals.count_since(from + 1) as f64;
         let limit = share * (self.settings.load_free + self.settings.load_share * requests);
         let limit = limit.min(self.state.quotas.orders.unwrap_or(f64::INFINITY));
-        self.settings.load_window == 0 || self.state.orders.count_since(from) + 1.0 <= limit
+        self.settings.load_window == 0 || self.state.orders.count_since(from) as f64 + 1.0 <= limit
     }
 
     /// Orders `more` copies beyond those known or pending; 0 renews those. The worker itself frees memory.
--- a/crates/badgerwind/src/records.rs
+++ b/crates/badgerwind/src/records.rs
@@ -5,6 +5,7 @@
 use crate::recency::Stamp;
 pub(crate) use badgerwind_health::Health;
 use badgerwind_placement::WEIGHT_OF_SIZE;
+use badgerwind_window::SlidingWindow;
 use std::collections::{BTreeMap, VecDeque};
 
 /// The list to which event handlers append what the front end must do.
@@ -65,25 +66,6 @@
     }
 }
 
-/// Times of recent occurrences, in order.
-#[derive(Debug, Default)]
-pub(crate) struct SlidingWindow(VecDeque<Time>);
-
-impl SlidingWindow {
-    pub(crate) fn push(&mut self, now: Time) {
-        self.0.push_back(now);
-    }
-    /// The number of occurrences at or after this time.
-    pub(crate) fn count_since(&self, from: Time) -> f64 {
-        (self.0.len() - self.0.partition_point(|&t| t < from)) as f64
-    }
-    pub(crate) fn forget_before(&mut self, from: Time) {
-        while self.0.front().is_some_and(|&t| t < from) {
-            self.0.pop_front();
-        }
-    }
-}
-
 /// A kind of traffic whose health at a worker is tracked by itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum TrafficKind {
--- a/crates/badgerwind/src/router_state.rs
+++ b/crates/badgerwind/src/router_state.rs
@@ -9,6 +9,7 @@
 use crate::records::*;
 use badgerwind_cells::CellIndex;
 use badgerwind_placement::{cells, fingerprint, preferred_workers};
+use badgerwind_window::SlidingWindow;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 /// Parameters of one run of the periodic maintenance.
--- a/crates/badgerwind/tests/limits.rs
+++ b/crates/badgerwind/tests/limits.rs
@@ -37,13 +37,15 @@
 #[test]
 fn no_other_source_reads_the_environment_or_the_clock() {
     let mut files = policy();
-    let records = ["held.rs", "records.rs", "router_state.rs", "interface.rs", "message.rs", "lib.rs"];
+    let records =
+        ["held.rs", "recency.rs", "records.rs", "router_state.rs", "interface.rs", "message.rs", "lib.rs"];
     let records = records.map(|f| format!("badgerwind/src/{f}"));
     let others = [
         "badgerwind-adapter/src/wire.rs",
         "badgerwind-adapter/src/main.rs",
         "badgerwind-cells/src/trie.rs",
         "badgerwind-cells/src/mix.rs",
+        "badgerwind-window/src/lib.rs",
     ]
     .map(String::from);
     for f in records.into_iter().chain(others) {
