Requests withdrawn before the engine takes them no longer fill its queue

Seen: at full speed, withdrawn requests filled a front end's memory beside the records and timers that are fixed before: with 1,000,000 of them over 80 connections it grew to 70 MB, and a usual call took 1.6 to 2.1 s; over 10 connections to 50 MB, and 150 to 700 ms (trials with the release build). In the debug build of the tests, with records and timers fixed, a usual client had no answer within its 3 s in two of two plays of each new test.

Cause: the engine's queue was taken to be bounded by what is open. A request that is withdrawn is not open any more, but its call stays in the queue until the engine takes it, and its withdrawal is queued as well. A connection also handed over all that 256 KiB hold, over a thousand requests, before other tasks ran.

Change: calls are passed to the engine at the end of the turn in which they were read; one that is withdrawn in the same turn is dropped there, and nothing of it is remembered. A turn of a connection ends after 32 requests. While more calls wait for the engine than may be open, connections are paused until the engine has taken its batch; nothing is refused for it.

Why this works: queued calls are counted from the hand-over until they are taken, so that the queue holds at most as many as may be open and one turn more, whoever withdraws what. Every connection gets its turn in a round of 32 requests each.

--- a/crates/badgerwind-cli/tests/platform/main.rs
+++ b/crates/badgerwind-cli/tests/platform/main.rs
@@ -12,3 +12,4 @@
 mod races;
 mod rig;
 mod shutdown;
+mod withdrawn;
--- a/crates/badgerwind-gateway/src/platform/clients.rs
+++ b/crates/badgerwind-gateway/src/platform/clients.rs
@@ -4,7 +4,7 @@
 use super::stream::{is_descriptor_limit, Stream};
 use badgerwind::interface::*;
 use badgerwind_driver::{Call, Failure, FinalAnswer};
-use badgerwind_platform::client::{Answer, ClientConnection, ClientEvent};
+use badgerwind_platform::client::{Answer, ClientConnection, ClientEvent, MAX_REQUESTS};
 use badgerwind_platform::fields::{self, ParsedRequest};
 use futures_lite::future::yield_now;
 use smol::{Async, Timer};
@@ -24,6 +24,8 @@
 const WRITE_TIMEOUT: Micros = 5_000_000;
 /// Most reads from one connection before other tasks run.
 const READS_PER_TURN: usize = 4;
+/// After this many requests from one connection other tasks run.
+const REQUESTS_PER_TURN: usize = MAX_REQUESTS;
 /// Most turns of [`READS_PER_TURN`] reads for one connection when input is read for the last time.
 const MAX_FINAL_TURNS: usize = 16;
 /// Pause of the accept loop when no descriptor is free, so that it does not spin.
@@ -53,6 +55,8 @@
     peer_closed: Cell<bool>,
     closing: Cell<bool>,
     dirty: Cell<bool>,
+    /// Nothing is read until the engine has taken the calls that wait for it.
+    paused: Cell<bool>,
 }
 
 /// An open request.
@@ -61,6 +65,8 @@
     id: RequestId,
     /// Size of its body.
     bytes: usize,
+    /// The call, until it is passed to the engine at the end of the turn in which it was read.
+    call: Option<Call<Caller, Rc<Content>>>,
 }
 
 /// All connections from web servers, and their open requests.
@@ -73,6 +79,10 @@
     ids: RefCell<HashSet<RequestId>>,
     /// Total size of the bodies of open requests.
     body_bytes: Cell<usize>,
+    /// Number of calls passed to the engine that it has not taken yet, withdrawn ones included.
+    queued_calls: Cell<usize>,
+    /// Connections that are paused.
+    paused: RefCell<Vec<Rc<Connection>>>,
 }
 
 impl Clients {
@@ -140,6 +150,28 @@
         }
     }
 
+    /// Records that the engine has taken a call from its queue.
+    pub(super) fn on_call_taken(&self) {
+        self.queued_calls.set(self.queued_calls.get().saturating_sub(1));
+    }
+
+    /// Reads from paused connections again.
+    pub(super) fn resume_paused(&self) {
+        for connection in self.paused.take() {
+            connection.paused.set(false);
+            connection.stream.wake();
+        }
+    }
+
+    /// Pauses a connection if as many calls wait for the engine as may be open, and returns whether it is
+    /// paused. Withdrawn calls are not open, but stay in the queue until the engine takes them.
+    fn pause_if_queue_is_full(&self, runtime: &Runtime, connection: &Rc<Connection>) -> bool {
+        if self.queued_calls.get() > runtime.shares.open_requests && !connection.paused.replace(true) {
+            self.paused.borrow_mut().push(connection.clone());
+        }
+        connection.paused.get()
+    }
+
     fn is_full(&self, runtime: &Runtime) -> bool {
         self.connections.borrow().len() >= runtime.shares.client_connections
     }
@@ -315,6 +347,7 @@
             peer_closed: Cell::default(),
             closing: Cell::default(),
             dirty: Cell::default(),
+            paused: Cell::default(),
         });
         self.clients.connections.borrow_mut().insert(number, connection.clone());
         self.tasks.spawn(self.clone().serve_client(connection)).detach();
@@ -336,13 +369,32 @@
         closed
     }
 
-    /// Reads and processes what has arrived on a connection; returns whether more may be available.
+    /// Reads and processes what has arrived on a connection; returns whether more may be available. Requests
+    /// that are withdrawn in the same turn are not passed to the engine.
     fn read_input(&self, connection: &Rc<Connection>) -> bool {
+        let mut arrived = Vec::new();
+        let more = self.read_requests(connection, &mut arrived);
+        let mut calls = connection.calls.borrow_mut();
+        for fcgi_request_id in arrived {
+            let call = calls.get_mut(&fcgi_request_id).and_then(|open| open.call.take());
+            let Some(call) = call else { continue };
+            self.clients.queued_calls.set(self.clients.queued_calls.get() + 1);
+            self.send_input(Input::Call(call));
+        }
+        more
+    }
+
+    /// Reads from a connection for one turn, and appends the FastCGI request ids of the calls that have
+    /// arrived. Returns whether more may be available.
+    fn read_requests(&self, connection: &Rc<Connection>, arrived: &mut Vec<u16>) -> bool {
         let mut events = Vec::new();
         for _ in 0..READS_PER_TURN {
             if connection.peer_closed.get() || connection.closing.get() {
                 return false;
             }
+            if arrived.len() >= REQUESTS_PER_TURN {
+                return true;
+            }
             let mut scratch = self.scratch.borrow_mut();
             match connection.stream.read(&mut scratch) {
                 Ok(Some(0)) => {
@@ -364,7 +416,7 @@
                     connection.receiving_since.set(receiving_since);
                     drop((protocol, scratch));
                     for event in events.drain(..) {
-                        self.on_event(connection, now, event);
+                        arrived.extend(self.on_event(connection, now, event));
                     }
                     if n < 4096 {
                         return false; // most likely nothing is left
@@ -385,20 +437,25 @@
     /// call that nobody waits for must not start.
     fn on_client_closed(&self, connection: &Connection) {
         connection.protocol.borrow_mut().on_closed();
-        for open in connection.calls.take().into_values() {
-            self.clients.release(&open);
+        connection.calls.take().into_values().for_each(|open| self.withdraw(open));
+    }
+
+    /// Ends a request that its client has withdrawn. The engine is informed only if it was passed the call.
+    fn withdraw(&self, open: OpenRequest) {
+        self.clients.release(&open);
+        if open.call.is_none() {
             self.send_input(Input::CallerDisconnected { id: open.id, finish_started: false });
         }
     }
 
     async fn serve_client(self: Rc<Self>, connection: Rc<Connection>) {
         while !connection.closing.get() {
-            connection
-                .stream
-                .ready(!connection.peer_closed.get(), || !connection.protocol.borrow().output().is_empty())
-                .await;
+            let reads = !connection.peer_closed.get() && !connection.paused.get();
+            connection.stream.ready(reads, || !connection.protocol.borrow().output().is_empty()).await;
             // Read even if no more requests are accepted: an abort or a close may follow.
-            self.read_input(&connection);
+            if !self.clients.pause_if_queue_is_full(&self, &connection) {
+                self.read_input(&connection);
+            }
             connection.flush();
             let mut protocol = connection.protocol.borrow_mut();
             if protocol.output().is_empty() {
@@ -421,16 +478,15 @@
         self.on_client_closed(&connection);
     }
 
-    fn on_event(&self, connection: &Rc<Connection>, now: Time, event: ClientEvent) {
+    /// Processes what was received. Returns the FastCGI request id of a call to be passed to the engine.
+    fn on_event(&self, connection: &Rc<Connection>, now: Time, event: ClientEvent) -> Option<u16> {
         connection.had_request.set(true);
         let (fcgi_request_id, params, body) = match event {
             ClientEvent::Request { request_id, params, body } => (request_id, params, body),
             ClientEvent::Aborted { request_id } => {
-                if let Some(open) = connection.calls.borrow_mut().remove(&request_id) {
-                    self.clients.release(&open);
-                    self.send_input(Input::CallerDisconnected { id: open.id, finish_started: false });
-                }
-                return;
+                let open = connection.calls.borrow_mut().remove(&request_id);
+                open.into_iter().for_each(|open| self.withdraw(open));
+                return None;
             }
         };
         let answer_status = |status| {
@@ -438,6 +494,7 @@
                 .protocol
                 .borrow_mut()
                 .answer(fcgi_request_id, &Answer { status, retry_after_ms: None, body: b"" });
+            None
         };
         let call = match fields::parse(&params, &self.names) {
             Ok(ParsedRequest::Health) => return answer_status(if self.stopping.get() { 503 } else { 200 }),
@@ -462,7 +519,6 @@
         self.clients.ids.borrow_mut().insert(id.clone());
         let bytes = body.len();
         self.clients.body_bytes.set(self.clients.body_bytes.get() + bytes);
-        connection.calls.borrow_mut().insert(fcgi_request_id, OpenRequest { serial, id: id.clone(), bytes });
         let function: FunctionId = call.key.as_str().into();
         let request = Request {
             id: id.clone(),
@@ -476,8 +532,11 @@
             due: now + call.wait,
             load_time: call.load_time,
         };
-        let content = Rc::new(Content { id, class: call.class, function, body, accepted_at: now });
+        let content =
+            Rc::new(Content { id: id.clone(), class: call.class, function, body, accepted_at: now });
         let origin = Caller { connection: connection.number, fcgi_request_id, serial };
-        self.send_input(Input::Call(Call { request, origin, content }));
+        let call = Some(Call { request, origin, content });
+        connection.calls.borrow_mut().insert(fcgi_request_id, OpenRequest { serial, id, bytes, call });
+        Some(fcgi_request_id)
     }
 }
--- a/crates/badgerwind-gateway/src/platform/runtime.rs
+++ b/crates/badgerwind-gateway/src/platform/runtime.rs
@@ -48,7 +48,7 @@
     pub transport: Transport,
     pub shares: ResourceShares,
     /// Inputs to the engine. Its length is bounded by what is open, since each call, attempt, order and probe
-    /// sends one end.
+    /// sends one end; connections are paused while more calls wait in it than may be open.
     pub inputs: Sender<Input>,
     pub tasks: LocalExecutor<'static>,
     /// Buffer for socket reads; its content is processed before the next read.
@@ -191,6 +191,9 @@
     }
 
     fn observe(&mut self, _: Time, input: &Input) {
+        if matches!(input, Input::Call(_)) {
+            self.0.clients.on_call_taken();
+        }
         if !tracing::enabled!(tracing::Level::DEBUG) {
             return;
         }
@@ -258,5 +261,6 @@
     fn on_batch_done(&mut self, _: usize, _: Duration) {
         self.0.executors.flush(&self.0);
         self.0.clients.flush();
+        self.0.clients.resume_paused();
     }
 }
--- a/crates/badgerwind-standins/src/platform/mod.rs
+++ b/crates/badgerwind-standins/src/platform/mod.rs
@@ -7,6 +7,7 @@
 pub mod executor;
 pub mod full_backlog;
 pub mod web;
+pub mod withdrawn_flood;
 
 use rustix::net::RecvFlags;
 use serde_json::{json, Value};
