--- a/crates/badgerwind-scale/src/rows/mod.rs
+++ b/crates/badgerwind-scale/src/rows/mod.rs
@@ -17,6 +17,7 @@
 pub mod outages;
 pub mod register;
 pub mod router;
+pub mod withdrawn_calls;
 pub mod workers;
 pub mod zones;
 
@@ -29,6 +30,7 @@
     all.extend(router::rows());
     all.extend(lists::rows());
     all.extend(hard_cases::rows());
+    all.extend(withdrawn_calls::rows());
     all.extend(cold_starts::rows());
     all.extend(members::rows());
     all.extend(zones::rows());
